feat(policy): kernel, policy and bundle packages

Cause: the project starts from nothing; the decisions come first, pure, so that nodes and measurements run the same code. Change: micro-kernel, admission, routing, retry ledger, tickets, suspects, adoption; bundle schema, checks, diff and envelopes. Conclusion: the node can be built on these.

--- /dev/null
+++ b/packages/bundle/src/check.ts
@@ -0,0 +1,242 @@
+/** Checks a bundle's INI text and resolves it. */
+
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import type { Account, Bundle, Kind, Service } from "./bundle.ts";
+import {
+  ALLOWANCE_MAX,
+  BODY_DEFAULT_BYTES,
+  BODY_MAX_BYTES,
+  FLEET_SCOPE,
+  RANK_MAX,
+} from "./constants.ts";
+import type { Fault } from "./fault.ts";
+import {
+  checkSection,
+  decimal,
+  listOf,
+  oneOf,
+  textOf,
+  wholeNumber,
+  yesOrNo,
+} from "./fields.ts";
+import { readSections, type Section } from "./sections.ts";
+
+const NAME = /^[a-z0-9][a-z0-9-]{0,63}$/;
+const NAME_EXPECTED = "a name of small letters, digits and hyphens";
+const CALLER = /^[a-z0-9][a-z0-9-]{0,63}\*?$|^\*$/;
+
+const BUNDLE_SCHEMA = z.strictObject({
+  scope: textOf(NAME, `"${FLEET_SCOPE}" or ${NAME_EXPECTED}`),
+  version: wholeNumber(1, 2_000_000_000),
+  note: z.string().max(500, "at most 500 characters").default(""),
+});
+
+const ACCOUNT_SCHEMA = z.strictObject({
+  callers: listOf(CALLER, "caller names, a trailing * for any ending"),
+  token_sha256: textOf(/^[0-9a-f]{64}$/, "64 hexadecimal digits").optional(),
+});
+
+const SERVICE_SCHEMA = z.strictObject({
+  slots: wholeNumber(1, 10_000),
+  connections: wholeNumber(1, 100_000),
+  cancellation: oneOf(["close", "none"]).default("none"),
+  shed_status: wholeNumber(400, 599).optional(),
+  shed_header: textOf(/^[a-z0-9-]+$/, "a header name").optional(),
+  health_path: textOf(/^\/\S*$/, "a path that begins with /").optional(),
+});
+
+const KIND_SCHEMA = z.strictObject({
+  rank: wholeNumber(0, RANK_MAX),
+  protected: yesOrNo().default(false),
+  idempotent: yesOrNo(),
+  deadline_ms: wholeNumber(1, 600_000),
+  weight: decimal(0, 1_000_000),
+  floor: decimal(0, 1).default(0),
+  retry_allowance: wholeNumber(0, ALLOWANCE_MAX).default(0),
+  body_max_bytes: wholeNumber(0, BODY_MAX_BYTES).default(BODY_DEFAULT_BYTES),
+});
+
+interface Draft {
+  header: z.output<typeof BUNDLE_SCHEMA> | undefined;
+  readonly accounts: Account[];
+  readonly services: Service[];
+  readonly kinds: Kind[];
+  readonly faults: Fault[];
+}
+
+function take<Value>(
+  draft: Draft,
+  checked: {
+    readonly value: Value | undefined;
+    readonly faults: readonly Fault[];
+  },
+): Value | undefined {
+  draft.faults.push(...checked.faults);
+  return checked.value;
+}
+
+function readAccount(draft: Draft, name: string, section: Section): void {
+  const checked = checkSection(ACCOUNT_SCHEMA, section, {
+    name: `account:${name}`,
+  });
+  const value = take(draft, checked);
+  if (value === undefined) return;
+  const { callers, token_sha256: tokenSha256 } = value;
+  draft.accounts.push({ name, callers, tokenSha256 });
+}
+
+function readService(draft: Draft, name: string, section: Section): void {
+  const checked = checkSection(SERVICE_SCHEMA, section, {
+    name: `service:${name}`,
+  });
+  const value = take(draft, checked);
+  if (value === undefined) return;
+  if ((value.shed_status === undefined) !== (value.shed_header === undefined)) {
+    draft.faults.push({
+      section: `service:${name}`,
+      key: value.shed_status === undefined ? "shed_status" : "shed_header",
+      expected: "shed_status and shed_header together, or neither",
+    });
+  }
+  draft.services.push({
+    name,
+    slots: value.slots,
+    connections: value.connections,
+    cancellation: value.cancellation,
+    shedStatus: value.shed_status,
+    shedHeader: value.shed_header,
+    healthPath: value.health_path,
+  });
+}
+
+function readKind(draft: Draft, name: string, section: Section): void {
+  const full = `kind:${name}`;
+  const [service = "", kind = "", ...rest] = name.split("/");
+  if (!NAME.test(service) || !NAME.test(kind) || rest.length > 0) {
+    draft.faults.push({
+      section: full,
+      key: "(section)",
+      expected: "kind:SERVICE/KIND",
+    });
+    return;
+  }
+  const value = take(draft, checkSection(KIND_SCHEMA, section, { name: full }));
+  if (value === undefined) return;
+  draft.kinds.push({
+    service,
+    name: kind,
+    rank: value.rank,
+    protected: value.protected,
+    idempotent: value.idempotent,
+    deadlineMs: value.deadline_ms,
+    weight: value.weight,
+    floor: value.floor,
+    retryAllowance: value.retry_allowance,
+    bodyMaxBytes: value.body_max_bytes,
+  });
+}
+
+function readSection(draft: Draft, full: string, section: Section): void {
+  const colon = full.indexOf(":");
+  const type = colon < 0 ? full : full.slice(0, colon);
+  const name = colon < 0 ? "" : full.slice(colon + 1);
+  switch (type) {
+    case "bundle":
+      draft.header = take(
+        draft,
+        checkSection(BUNDLE_SCHEMA, section, { name: full }),
+      );
+      return;
+    case "kind":
+      return readKind(draft, name, section);
+    case "account":
+    case "service":
+      if (!NAME.test(name)) {
+        draft.faults.push({
+          section: full,
+          key: "(section)",
+          expected: `${type}:NAME, ${NAME_EXPECTED}`,
+        });
+        return;
+      }
+      return type === "account"
+        ? readAccount(draft, name, section)
+        : readService(draft, name, section);
+    default:
+      draft.faults.push({
+        section: full,
+        key: "(section)",
+        expected: "bundle, account:NAME, service:NAME or kind:SERVICE/KIND",
+      });
+  }
+}
+
+/** Faults that only the whole bundle shows. */
+function checkTogether(draft: Draft): void {
+  const { services, kinds, faults } = draft;
+  const names = new Set(services.map((service) => service.name));
+  for (const kind of kinds) {
+    if (names.has(kind.service)) continue;
+    faults.push({
+      section: `kind:${kind.service}/${kind.name}`,
+      key: "(section)",
+      expected: `a section service:${kind.service}`,
+    });
+  }
+  for (const name of names) {
+    const own = kinds.filter((kind) => kind.service === name);
+    const floors = own.reduce((sum, kind) => sum + kind.floor, 0);
+    if (floors > 1 + 1e-9) {
+      faults.push({
+        section: `service:${name}`,
+        key: "floor",
+        expected: "floors of its kinds that add up to at most 1",
+        found: String(floors),
+      });
+    }
+  }
+  const scope = draft.header?.scope ?? FLEET_SCOPE;
+  if (scope === FLEET_SCOPE) return;
+  for (const name of names) {
+    if (name === scope) continue;
+    faults.push({
+      section: `service:${name}`,
+      key: "(section)",
+      expected: `only service:${scope} in a bundle of scope ${scope}`,
+    });
+  }
+  for (const account of draft.accounts) {
+    faults.push({
+      section: `account:${account.name}`,
+      key: "(section)",
+      expected: `accounts only in a bundle of scope ${FLEET_SCOPE}`,
+    });
+  }
+}
+
+/** Checks INI text; all faults are returned, not only the first. */
+export function checkBundle(text: string): Result<Bundle, readonly Fault[]> {
+  const { sections, faults } = readSections(text);
+  const draft: Draft = {
+    header: undefined,
+    accounts: [],
+    services: [],
+    kinds: [],
+    faults: [...faults],
+  };
+  for (const [name, section] of sections) readSection(draft, name, section);
+  if (!sections.has("bundle")) {
+    draft.faults.push({
+      section: "bundle",
+      key: "(section)",
+      expected: "to be present, with scope and version",
+    });
+  }
+  checkTogether(draft);
+  const { header, accounts, services, kinds } = draft;
+  if (header === undefined || draft.faults.length > 0) {
+    return err(draft.faults);
+  }
+  return ok({ ...header, accounts, services, kinds });
+}
--- /dev/null
+++ b/packages/kernel/src/mod.ts
@@ -0,0 +1,5 @@
+/** Micro-kernel, tasks and clocks. */
+
+export * from "./clock.ts";
+export * from "./kernel.ts";
+export * from "./task.ts";
--- /dev/null
+++ b/packages/policy/src/admission.ts
@@ -0,0 +1,293 @@
+/**
+ * The gate's decisions: which work runs on the backend server, which waits,
+ * which is refused. Pure: the caller performs the actions that are returned.
+ */
+
+import {
+  OVERLOAD_DELAY_MS,
+  PROTECTED_LEVEL,
+  QUEUE_ENTRIES_MIN,
+  QUEUE_ENTRIES_PER_SLOT,
+  QUEUE_WAIT_MS,
+} from "./constants.ts";
+import { createLimit } from "./limit.ts";
+import { createServiceTime } from "./service_time.ts";
+import type { GateAction, Work } from "./work.ts";
+import { type Choice, createWorkQueue } from "./work_queue.ts";
+
+/** Resolved configuration of an admission. */
+export interface AdmissionConfig {
+  /** Calls that the backend server runs at once. */
+  readonly slots: number;
+  /** Guaranteed share of the slots by kind, 0 to 1. */
+  readonly floors: ReadonlyMap<string, number>;
+  /**
+   * Longest planned wait of unprotected work, in ms.
+   * @default QUEUE_WAIT_MS
+   */
+  readonly queueWaitMs?: number;
+}
+
+/** What became of a run. */
+export interface Finish {
+  /** Whether the backend server shed the call. */
+  readonly shed: boolean;
+}
+
+/** Load of a gate, as it is reported on every answer. */
+export interface GateLoad {
+  readonly inFlight: number;
+  readonly queued: number;
+  readonly limit: number;
+  /** Lowest level that is accepted at present. */
+  readonly acceptLevel: number;
+  readonly leaving: boolean;
+}
+
+/** The gate of one backend server. */
+export interface Admission {
+  /** Decides about new work. */
+  readonly offer: (work: Work, now: number) => readonly GateAction[];
+  /** Records that a run has ended. */
+  readonly finish: (
+    id: string,
+    finish: Finish,
+    options: { readonly now: number },
+  ) => readonly GateAction[];
+  /** Forgets work whose caller has gone; a run is cancelled if it may be. */
+  readonly abandon: (id: string, now: number) => readonly GateAction[];
+  /** Applies the passing of time. */
+  readonly tick: (now: number) => readonly GateAction[];
+  /** Stops taking new work. */
+  readonly leave: () => void;
+  /** Records that the backend server has been replaced by a cold one. */
+  readonly restart: () => void;
+  readonly load: (now: number) => GateLoad;
+  readonly idle: () => boolean;
+}
+
+interface Run {
+  readonly work: Work;
+  readonly startedAt: number;
+  cancelling: boolean;
+}
+
+function countUp(counts: Map<string, number>, key: string, by: number): void {
+  const next = (counts.get(key) ?? 0) + by;
+  if (next <= 0) counts.delete(key);
+  else counts.set(key, next);
+}
+
+function isProtected(work: Work): boolean {
+  return work.level >= PROTECTED_LEVEL;
+}
+
+/** Creates the gate of an idle backend server. */
+export function createAdmission(config: AdmissionConfig): Admission {
+  const queueWaitMs = config.queueWaitMs ?? QUEUE_WAIT_MS;
+  const queue = createWorkQueue();
+  const limit = createLimit(config.slots);
+  const times = createServiceTime();
+  const runs = new Map<string, Run>();
+  const kindRuns = new Map<string, number>();
+  const callerRuns = new Map<string, number>();
+  let aloneRuns = 0;
+  let leaving = false;
+
+  function choice(now: number): Choice {
+    const oldest = queue.oldestAt();
+    return {
+      newestFirst: oldest !== undefined && now - oldest > OVERLOAD_DELAY_MS,
+      kindUse: (kind) => kindRuns.get(kind) ?? 0,
+      callerUse: (caller) => callerRuns.get(caller) ?? 0,
+    };
+  }
+
+  function waitFrom(level: number): number {
+    const ahead = queue.countFrom(level);
+    return (ahead * times.overall()) / limit.current();
+  }
+
+  function refuse(
+    work: Work,
+    reason: "deadline" | "overload" | "evicted" | "leaving",
+  ): GateAction {
+    const retryAfterMs = Math.ceil(waitFrom(work.level));
+    return { kind: "refuse", work, reason, retryAfterMs };
+  }
+
+  function start(work: Work, now: number): GateAction {
+    runs.set(work.id, { work, startedAt: now, cancelling: false });
+    countUp(kindRuns, work.kind, 1);
+    countUp(callerRuns, work.caller, 1);
+    if (work.alone) aloneRuns++;
+    return { kind: "run", work };
+  }
+
+  function hasRoomFor(work: Work): boolean {
+    if (aloneRuns > 0) return false;
+    if (work.alone) return runs.size === 0;
+    return runs.size < limit.current();
+  }
+
+  /** Whether the queued protected work still fits if one slot goes elsewhere. */
+  function protectedCanWait(now: number): boolean {
+    const protectedCount = queue.countFrom(PROTECTED_LEVEL);
+    if (protectedCount === 0) return true;
+    const rounds = Math.ceil((protectedCount + 1) / limit.current());
+    for (const { work } of queue.entries()) {
+      if (!isProtected(work)) continue;
+      const needed = rounds * times.overall() + times.ofKind(work.kind);
+      if (now + needed > work.deadlineAt) return false;
+    }
+    return true;
+  }
+
+  function kindBelowFloor(now: number): string | undefined {
+    for (const [kind, floor] of config.floors) {
+      const guaranteed = Math.ceil(floor * limit.current());
+      if ((kindRuns.get(kind) ?? 0) >= guaranteed) continue;
+      if (queue.chooseOfKind(kind, choice(now)) === undefined) continue;
+      return protectedCanWait(now) ? kind : undefined;
+    }
+    return undefined;
+  }
+
+  function chooseNext(now: number): Work | undefined {
+    const now0 = choice(now);
+    const top = queue.choose(now0);
+    if (top === undefined) return undefined;
+    const floored = config.floors.size > 0 ? kindBelowFloor(now) : undefined;
+    if (floored === undefined) return top.work;
+    return queue.chooseOfKind(floored, now0)?.work ?? top.work;
+  }
+
+  function fill(now: number): GateAction[] {
+    const actions: GateAction[] = [];
+    for (const { work } of queue.expire(now)) {
+      actions.push(refuse(work, "deadline"));
+    }
+    for (;;) {
+      const next = chooseNext(now);
+      if (next === undefined || !hasRoomFor(next)) return actions;
+      queue.remove(next.id);
+      actions.push(start(next, now));
+    }
+  }
+
+  /** The running work that gives way first to work of the given level. */
+  function runningVictim(level: number): Run | undefined {
+    let victim: Run | undefined;
+    for (const run of runs.values()) {
+      const { work } = run;
+      if (run.cancelling || !work.cancellable || work.level >= level) continue;
+      if (victim !== undefined && work.level >= victim.work.level) continue;
+      victim = run;
+    }
+    return victim;
+  }
+
+  function queueBound(): number {
+    const bound = config.slots * QUEUE_ENTRIES_PER_SLOT;
+    return Math.max(QUEUE_ENTRIES_MIN, bound);
+  }
+
+  function fits(work: Work, now: number): boolean {
+    const wait = waitFrom(work.level);
+    if (!isProtected(work) && wait > queueWaitMs) return false;
+    return now + wait + times.ofKind(work.kind) <= work.deadlineAt;
+  }
+
+  function enqueue(work: Work, now: number): GateAction[] {
+    const actions: GateAction[] = [];
+    if (queue.size() >= queueBound()) {
+      const victim = queue.chooseVictim(choice(now));
+      if (victim === undefined || victim.work.level >= work.level) {
+        return [refuse(work, "overload")];
+      }
+      queue.remove(victim.work.id);
+      actions.push(refuse(victim.work, "evicted"));
+    }
+    queue.push({ work, queuedAt: now });
+    return actions;
+  }
+
+  function admitBusy(work: Work, now: number): GateAction[] {
+    if (fits(work, now)) return enqueue(work, now);
+    if (!isProtected(work)) return [refuse(work, "overload")];
+    const victim = runningVictim(PROTECTED_LEVEL);
+    if (victim === undefined) return [refuse(work, "overload")];
+    const actions = enqueue(work, now);
+    if (actions.at(-1)?.kind === "refuse" && actions.at(-1)?.work === work) {
+      return actions;
+    }
+    victim.cancelling = true;
+    return [...actions, { kind: "cancel", work: victim.work }];
+  }
+
+  function cancelRun(run: Run): GateAction[] {
+    if (run.cancelling) return [];
+    run.cancelling = true;
+    return [{ kind: "cancel", work: run.work }];
+  }
+
+  return {
+    offer: (work, now) => {
+      if (leaving) return [refuse(work, "leaving")];
+      if (now >= work.deadlineAt) return [refuse(work, "deadline")];
+      const before = fill(now);
+      const free = hasRoomFor(work) && queue.size() === 0;
+      if (free) return [...before, start(work, now)];
+      return [...before, ...admitBusy(work, now)];
+    },
+    finish: (id, finish, { now }) => {
+      const run = runs.get(id);
+      if (run === undefined) return [];
+      const sample = { inFlight: runs.size, overloaded: finish.shed };
+      runs.delete(id);
+      countUp(kindRuns, run.work.kind, -1);
+      countUp(callerRuns, run.work.caller, -1);
+      if (run.work.alone) aloneRuns--;
+      limit.observe(sample, now);
+      if (!finish.shed && !run.cancelling) {
+        times.observe(run.work.kind, now - run.startedAt);
+      }
+      return fill(now);
+    },
+    abandon: (id, now) => {
+      queue.remove(id);
+      const run = runs.get(id);
+      const cancels = run?.work.cancellable ? cancelRun(run) : [];
+      return [...cancels, ...fill(now)];
+    },
+    tick: (now) => {
+      const late: GateAction[] = [];
+      for (const run of runs.values()) {
+        if (run.work.deadlineAt <= now && run.work.cancellable) {
+          late.push(...cancelRun(run));
+        }
+      }
+      return [...late, ...fill(now)];
+    },
+    leave: () => {
+      leaving = true;
+    },
+    restart: () => limit.reset(),
+    load: () => {
+      let acceptLevel = 0;
+      for (const level of queue.levels()) {
+        if (waitFrom(level) <= queueWaitMs) continue;
+        acceptLevel = Math.min(level + 1, PROTECTED_LEVEL);
+        break;
+      }
+      return {
+        inFlight: runs.size,
+        queued: queue.size(),
+        limit: limit.current(),
+        acceptLevel,
+        leaving,
+      };
+    },
+    idle: () => runs.size === 0 && queue.size() === 0,
+  };
+}
--- /dev/null
+++ b/packages/policy/src/constants.ts
@@ -0,0 +1,67 @@
+/** Constants of the policy, with their units. */
+
+/** Added to the rank of protected kinds, so that they are above all others. */
+export const PROTECTED_LEVEL = 1_000;
+
+/** Longest time that unprotected work is planned to wait in a gate's queue. */
+export const QUEUE_WAIT_MS = 100;
+/** Queue entries allowed per slot of the backend server. */
+export const QUEUE_ENTRIES_PER_SLOT = 4;
+/** Fewest queue entries a gate allows. */
+export const QUEUE_ENTRIES_MIN = 16;
+/** Queue delay above which a rank is served newest first. */
+export const OVERLOAD_DELAY_MS = 20;
+/** Weight of a new sample in the service time average. */
+export const SERVICE_TIME_GAIN = 0.05;
+
+/** Factor applied to the concurrency limit after a shed or a timeout. */
+export const LIMIT_BACKOFF = 0.9;
+/** Shortest time between two decreases of the limit. */
+export const LIMIT_BACKOFF_INTERVAL_MS = 100;
+
+/** Retries allowed per first attempt, over time. */
+export const RETRY_RATIO = 0.1;
+/** Retries that a budget can save up. */
+export const RETRY_BURST = 10;
+/** Backoff before the first retry, before jitter. */
+export const BACKOFF_BASE_MS = 10;
+/** Longest backoff, before jitter. */
+export const BACKOFF_MAX_MS = 1_000;
+
+/** Gates of a service that a node keeps state for, per data centre. */
+export const SUBSET_SIZE = 16;
+/** Time after which a reported load counts for half. */
+export const LOAD_HALF_LIFE_MS = 500;
+/** Time for which a gate's accept level is believed. */
+export const ACCEPT_LEVEL_TTL_MS = 100;
+/** Time over which a new gate is ramped up to its full share. */
+export const SLOW_START_MS = 5_000;
+/** Share of traffic a gate gets at the beginning of its slow start. */
+export const SLOW_START_FLOOR = 0.1;
+/** Consecutive failures after which a gate is ejected. */
+export const EJECT_FAILURES = 5;
+/** First ejection time; doubles with each ejection in a row. */
+export const EJECT_BASE_MS = 1_000;
+/** Longest ejection. */
+export const EJECT_MAX_MS = 30_000;
+/** Largest share of a service's gates that may be ejected at once. */
+export const EJECT_SHARE_MAX = 0.5;
+
+/** Lifetime of a ticket. */
+export const TICKET_TTL_MS = 60_000;
+/** Largest number of unexpired tickets of one node. */
+export const TICKETS_MAX = 100_000;
+
+/** Backend server deaths after which a call is quarantined. */
+export const SUSPECT_DEATHS_MAX = 2;
+/** Time for which a suspect or quarantined call is remembered. */
+export const SUSPECT_TTL_MS = 60_000;
+/** Deaths of different backend servers that make a mass failure. */
+export const MASS_FAILURE_DEATHS = 3;
+/** Time window of a mass failure. */
+export const MASS_FAILURE_WINDOW_MS = 500;
+/** Most suspects remembered by a node. */
+export const SUSPECTS_MAX = 4_096;
+
+/** Gap between two ticks that counts as a pause of the process. */
+export const PAUSE_GAP_MS = 500;
--- /dev/null
+++ b/packages/policy/src/dispatch.ts
@@ -0,0 +1,309 @@
+/**
+ * The ingress's decisions about one call: which gate to try, when to try
+ * again, and what may truthfully be said to the caller. Pure: the node sends
+ * the attempts and reports how they ended.
+ */
+
+import { drawBackoff } from "./backoff.ts";
+import { PROTECTED_LEVEL } from "./constants.ts";
+import type { Ledger } from "./ledger.ts";
+import {
+  type Outcome,
+  type RefusalReason,
+  refused,
+  unknown,
+  type UnknownReason,
+} from "./outcome.ts";
+import type { Random } from "./random.ts";
+import type { RetryBudget } from "./retry_budget.ts";
+import type { Router } from "./router.ts";
+import type { Suspects } from "./suspects.ts";
+import type { Upstream, UpstreamReport } from "./upstream.ts";
+
+/** A call that an ingress has accepted. */
+export interface Call {
+  readonly id: string;
+  readonly service: string;
+  readonly level: number;
+  /** Whether running it twice does no harm. */
+  readonly idempotent: boolean;
+  /** Account and caller. */
+  readonly caller: string;
+  readonly deadlineAt: number;
+  /** Digest of kind and body. */
+  readonly digest: string;
+  /** Whether the caller sends it again. */
+  readonly resend: boolean;
+  /** Retries that the whole tree below this call may spend. */
+  readonly allowance: number;
+}
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  | { readonly kind: "answered"; readonly unspent: number }
+  | { readonly kind: "failed"; readonly unspent: number }
+  | {
+    readonly kind: "refused";
+    readonly reason: RefusalReason;
+    readonly retryAfterMs: number;
+  }
+  | { readonly kind: "unreachable" }
+  | { readonly kind: "unknown"; readonly reason: UnknownReason };
+
+/** What the node has to do next. */
+export type Step =
+  | {
+    readonly kind: "attempt";
+    readonly attemptId: string;
+    readonly upstream: Upstream;
+    /** Retries split off for the calls further down. */
+    readonly share: number;
+    /** Whether the gate must run it with no other call beside it. */
+    readonly alone: boolean;
+  }
+  | { readonly kind: "wait"; readonly delayMs: number }
+  | {
+    readonly kind: "finish";
+    readonly outcome: Outcome;
+    /** Retries left, to be credited to the parent. */
+    readonly unspent: number;
+  };
+
+/** Time and randomness of a decision. */
+export interface Moment {
+  readonly now: number;
+  readonly random: Random;
+}
+
+/** What a dispatcher works with. */
+export interface DispatcherConfig {
+  readonly router: Router;
+  readonly ledger: Ledger;
+  readonly callerBudget: RetryBudget;
+  readonly serviceBudget: RetryBudget;
+  readonly suspects: Suspects;
+}
+
+/** Decides about the calls of one ingress. */
+export interface Dispatcher {
+  readonly begin: (call: Call, moment: Moment) => Step;
+  /** Goes on after a wait. */
+  readonly resume: (callId: string, moment: Moment) => Step;
+  /** Goes on after an attempt. */
+  readonly settle: (
+    callId: string,
+    end: AttemptEnd,
+    options: Moment & { readonly report?: UpstreamReport },
+  ) => Step;
+  /** Ends a call whose caller has gone. */
+  readonly abandon: (callId: string, now: number) => void;
+  readonly inFlight: () => number;
+}
+
+interface Progress {
+  readonly call: Call;
+  readonly refusedBy: Set<string>;
+  attempts: number;
+  retries: number;
+  share: number;
+  upstream: Upstream | undefined;
+  /** The strongest thing that is true if no later attempt is answered. */
+  worst: Outcome;
+}
+
+function isProtected(call: Call): boolean {
+  return call.level >= PROTECTED_LEVEL;
+}
+
+/** A call that may have run stays so, whatever later attempts say. */
+function combine(before: Outcome, after: Outcome): Outcome {
+  if (after.kind !== "refused") return after;
+  return before.kind === "refused" ? after : before;
+}
+
+/** Creates a dispatcher with no calls in flight. */
+export function createDispatcher(config: DispatcherConfig): Dispatcher {
+  const { router, ledger, callerBudget, serviceBudget, suspects } = config;
+  const calls = new Map<string, Progress>();
+
+  function finish(progress: Progress, outcome: Outcome): Step {
+    const { id } = progress.call;
+    calls.delete(id);
+    return { kind: "finish", outcome, unspent: ledger.close(id) };
+  }
+
+  function finishUnanswered(progress: Progress, last: Outcome): Step {
+    return finish(progress, combine(progress.worst, last));
+  }
+
+  function attempt(progress: Progress, moment: Moment): Step {
+    const { call } = progress;
+    if (moment.now >= call.deadlineAt) {
+      return finishUnanswered(progress, refused("deadline"));
+    }
+    const suspicion = suspects.suspicion(call.digest, moment.now);
+    if (suspicion === "quarantined") {
+      return finishUnanswered(progress, refused("quarantined"));
+    }
+    const { service, level } = call;
+    const exclude = progress.refusedBy;
+    const upstream = router.pick({ service, level, exclude }, moment);
+    if (upstream === undefined) {
+      const tried = progress.worst.kind === "refused" && progress.attempts > 0;
+      const last = tried ? progress.worst : refused("no_upstream");
+      return finishUnanswered(progress, last);
+    }
+    progress.attempts++;
+    progress.upstream = upstream;
+    progress.share = ledger.split(call.id);
+    router.begin(upstream.id);
+    return {
+      kind: "attempt",
+      attemptId: `${call.id}.${progress.attempts}`,
+      upstream,
+      share: progress.share,
+      alone: suspicion === "alone",
+    };
+  }
+
+  /** A retry after backoff, if allowance, budget and deadline permit. */
+  function retry(progress: Progress, last: Outcome, moment: Moment): Step {
+    const { call } = progress;
+    progress.worst = combine(progress.worst, last);
+    const hint = last.kind === "refused" ? last.retryAfterMs : 0;
+    const delayMs = hint + drawBackoff(progress.retries + 1, moment.random);
+    if (moment.now + delayMs >= call.deadlineAt) {
+      return finish(progress, progress.worst);
+    }
+    if (ledger.left(call.id) < 1) return finish(progress, progress.worst);
+    if (!serviceBudget.withdraw(call.service)) {
+      return finish(progress, progress.worst);
+    }
+    ledger.spend(call.id);
+    progress.retries++;
+    return { kind: "wait", delayMs };
+  }
+
+  function afterRefusal(
+    progress: Progress,
+    last: Outcome,
+    moment: Moment,
+  ): Step {
+    const { call, upstream } = progress;
+    ledger.credit(call.id, progress.share);
+    if (upstream !== undefined) progress.refusedBy.add(upstream.id);
+    // A true refusal costs no retry for protected work: every gate that may
+    // still run something less important is asked once.
+    if (isProtected(call)) {
+      progress.worst = combine(progress.worst, last);
+      return attempt(progress, moment);
+    }
+    return retry(progress, last, moment);
+  }
+
+  function afterEnd(
+    progress: Progress,
+    end: AttemptEnd,
+    moment: Moment,
+  ): Step {
+    const { call } = progress;
+    switch (end.kind) {
+      case "answered":
+        ledger.credit(call.id, end.unspent);
+        return finish(progress, { kind: "answered" });
+      case "failed":
+        ledger.credit(call.id, end.unspent);
+        if (!call.idempotent) return finish(progress, { kind: "failed" });
+        return retry(progress, { kind: "failed" }, moment);
+      case "refused":
+        return afterRefusal(
+          progress,
+          refused(end.reason, end.retryAfterMs),
+          moment,
+        );
+      case "unreachable":
+        return afterUnreachable(progress, moment);
+      case "unknown":
+        if (!call.idempotent) return finish(progress, unknown(end.reason));
+        return retry(progress, unknown(end.reason), moment);
+    }
+  }
+
+  function afterUnreachable(progress: Progress, moment: Moment): Step {
+    const { call, upstream } = progress;
+    ledger.credit(call.id, progress.share);
+    if (upstream !== undefined) progress.refusedBy.add(upstream.id);
+    progress.worst = combine(progress.worst, refused("unreachable"));
+    return attempt(progress, moment);
+  }
+
+  function settleRouter(
+    progress: Progress,
+    end: AttemptEnd,
+    options: { readonly now: number; readonly report?: UpstreamReport },
+  ): void {
+    const id = progress.upstream?.id;
+    if (id === undefined) return;
+    if (options.report) router.report(id, options.report, options.now);
+    switch (end.kind) {
+      case "answered":
+        return router.end(id, "success", options);
+      case "refused":
+        return router.end(id, "refused", options);
+      case "failed":
+      case "unreachable":
+      case "unknown":
+        return router.end(id, "failure", options);
+    }
+  }
+
+  return {
+    begin: (call, moment) => {
+      const progress: Progress = {
+        call,
+        refusedBy: new Set(),
+        attempts: 0,
+        retries: 0,
+        share: 0,
+        upstream: undefined,
+        worst: refused("no_upstream"),
+      };
+      calls.set(call.id, progress);
+      ledger.open(call.id, call.allowance);
+      if (!call.resend) {
+        callerBudget.deposit(call.caller);
+        serviceBudget.deposit(call.service);
+        return attempt(progress, moment);
+      }
+      const allowed = callerBudget.withdraw(call.caller) || isProtected(call);
+      if (allowed) return attempt(progress, moment);
+      return finish(progress, refused("retry_budget"));
+    },
+    resume: (callId, moment) => {
+      const progress = calls.get(callId);
+      if (progress === undefined) return gone();
+      return attempt(progress, moment);
+    },
+    settle: (callId, end, options) => {
+      const progress = calls.get(callId);
+      if (progress === undefined) return gone();
+      settleRouter(progress, end, options);
+      return afterEnd(progress, end, options);
+    },
+    abandon: (callId, now) => {
+      const progress = calls.get(callId);
+      if (progress === undefined) return;
+      if (progress.upstream) {
+        // The attempt's end is no longer reported, so it is counted here.
+        router.end(progress.upstream.id, "refused", { now });
+      }
+      calls.delete(callId);
+      ledger.close(callId);
+    },
+    inFlight: () => calls.size,
+  };
+}
+
+function gone(): Step {
+  return { kind: "finish", outcome: unknown("cancelled"), unspent: 0 };
+}
--- /dev/null
+++ b/packages/policy/src/mod.ts
@@ -0,0 +1,21 @@
+/** The decisions of the system, free of I/O, timers and clocks. */
+
+export * from "./admission.ts";
+export * from "./adoption.ts";
+export * from "./backoff.ts";
+export * from "./constants.ts";
+export * from "./dispatch.ts";
+export * from "./ledger.ts";
+export * from "./limit.ts";
+export * from "./outcome.ts";
+export * from "./pause.ts";
+export * from "./random.ts";
+export * from "./retry_budget.ts";
+export * from "./router.ts";
+export * from "./service_time.ts";
+export * from "./subset.ts";
+export * from "./suspects.ts";
+export * from "./tickets.ts";
+export * from "./upstream.ts";
+export * from "./work.ts";
+export * from "./work_queue.ts";
--- /dev/null
+++ b/packages/policy/src/outcome.ts
@@ -0,0 +1,52 @@
+/** What a caller is told about its call. */
+
+/** Why a call was not run. */
+export type RefusalReason =
+  | "deadline"
+  | "overload"
+  | "displaced"
+  | "evicted"
+  | "leaving"
+  | "unreachable"
+  | "no_upstream"
+  | "retry_budget"
+  | "quarantined"
+  | "shed"
+  | "ticket_conflict"
+  | "ticket_exhausted"
+  | "not_ready"
+  | "cancelled"
+  | "invalid";
+
+/** Why nobody can say whether a call was run. */
+export type UnknownReason =
+  | "connection_lost"
+  | "truncated"
+  | "deadline"
+  | "cancelled"
+  | "displaced"
+  | "backend_died"
+  | "ticket_expired"
+  | "ticket_home_gone"
+  | "ticket_invalid";
+
+/** The result of a call, without its body. */
+export type Outcome =
+  | { readonly kind: "answered" }
+  | {
+    readonly kind: "refused";
+    readonly reason: RefusalReason;
+    readonly retryAfterMs: number;
+  }
+  | { readonly kind: "unknown"; readonly reason: UnknownReason }
+  | { readonly kind: "failed" };
+
+/** Builds the outcome of a call that was not run. */
+export function refused(reason: RefusalReason, retryAfterMs = 0): Outcome {
+  return { kind: "refused", reason, retryAfterMs };
+}
+
+/** Builds the outcome of a call that may have been run. */
+export function unknown(reason: UnknownReason): Outcome {
+  return { kind: "unknown", reason };
+}
--- /dev/null
+++ b/packages/policy/src/pause.ts
@@ -0,0 +1,21 @@
+/** Detects that the process was paused. */
+
+import { PAUSE_GAP_MS } from "./constants.ts";
+
+/** Watches the gaps between ticks. */
+export interface PauseDetector {
+  /** Records a tick; returns the length of a pause in ms, or 0. */
+  readonly tick: (now: number) => number;
+}
+
+/** Creates a detector for ticks that come every `periodMs`. */
+export function createPauseDetector(periodMs: number): PauseDetector {
+  let last: number | undefined;
+  return {
+    tick: (now) => {
+      const gap = last === undefined ? 0 : now - last - periodMs;
+      last = now;
+      return gap >= PAUSE_GAP_MS ? gap : 0;
+    },
+  };
+}
--- /dev/null
+++ b/packages/policy/src/router.ts
@@ -0,0 +1,259 @@
+/**
+ * Chooses the gate for a call: own data centre first, then the nearest other
+ * one; within a data centre the less loaded of two drawn at random.
+ */
+
+import {
+  ACCEPT_LEVEL_TTL_MS,
+  EJECT_BASE_MS,
+  EJECT_FAILURES,
+  EJECT_MAX_MS,
+  EJECT_SHARE_MAX,
+  LOAD_HALF_LIFE_MS,
+  PROTECTED_LEVEL,
+  SLOW_START_FLOOR,
+  SLOW_START_MS,
+  SUBSET_SIZE,
+} from "./constants.ts";
+import { drawIndex, type Random } from "./random.ts";
+import { resolveSubset } from "./subset.ts";
+import type { Upstream, UpstreamReport } from "./upstream.ts";
+
+/** Resolved configuration of a router. */
+export interface RouterConfig {
+  /** Instance id of the node that routes. */
+  readonly owner: string;
+  /** Data centres, the own one first, then by distance. */
+  readonly dataCentres: readonly string[];
+  /**
+   * Gates of a service that are kept per data centre.
+   * @default SUBSET_SIZE
+   */
+  readonly subsetSize?: number;
+}
+
+/** What a call asks for. */
+export interface Demand {
+  readonly service: string;
+  readonly level: number;
+  /** Ids of gates that must not be chosen. */
+  readonly exclude?: ReadonlySet<string>;
+}
+
+/** How an attempt ended, as far as routing is concerned. */
+export type AttemptResult = "success" | "failure" | "refused";
+
+/** Chooses gates and learns from attempts. */
+export interface Router {
+  /** Replaces the known gates of a service. */
+  readonly update: (
+    service: string,
+    upstreams: readonly Upstream[],
+    options: { readonly now: number; readonly warm?: boolean },
+  ) => void;
+  readonly pick: (
+    demand: Demand,
+    options: { readonly now: number; readonly random: Random },
+  ) => Upstream | undefined;
+  /** Counts an attempt that is about to be sent. */
+  readonly begin: (id: string) => void;
+  /** Counts the end of an attempt. */
+  readonly end: (
+    id: string,
+    result: AttemptResult,
+    options: { readonly now: number },
+  ) => void;
+  /** Stores what a gate said about itself. */
+  readonly report: (id: string, report: UpstreamReport, now: number) => void;
+  /** Marks a gate as leaving: it is not chosen again in this incarnation. */
+  readonly markLeaving: (id: string, incarnation: string) => void;
+  /** Treats all reported loads as old, as after a pause. */
+  readonly forgetLoads: () => void;
+  readonly snapshot: (now: number) => readonly UpstreamStatus[];
+}
+
+/** A gate's state, for people. */
+export interface UpstreamStatus {
+  readonly upstream: Upstream;
+  readonly outstanding: number;
+  readonly leaving: boolean;
+  readonly ejected: boolean;
+}
+
+interface Entry {
+  upstream: Upstream;
+  since: number;
+  outstanding: number;
+  report: UpstreamReport | undefined;
+  reportedAt: number;
+  leaving: boolean;
+  failures: number;
+  ejections: number;
+  ejectedUntil: number;
+}
+
+interface Pool {
+  readonly byDataCentre: ReadonlyMap<string, readonly Entry[]>;
+  readonly size: number;
+}
+
+function createEntry(upstream: Upstream, since: number): Entry {
+  return {
+    upstream,
+    since,
+    outstanding: 0,
+    report: undefined,
+    reportedAt: -Infinity,
+    leaving: false,
+    failures: 0,
+    ejections: 0,
+    ejectedUntil: -Infinity,
+  };
+}
+
+function loadOf(entry: Entry, now: number): number {
+  const { report, outstanding } = entry;
+  const age = now - entry.reportedAt;
+  const weight = report ? 0.5 ** (age / LOAD_HALF_LIFE_MS) : 0;
+  const reported = report
+    ? (report.inFlight + report.queued) / Math.max(1, report.limit)
+    : 0;
+  const own = outstanding / Math.max(1, report?.limit ?? 1);
+  const ramp = (now - entry.since) / SLOW_START_MS;
+  const share = Math.min(1, Math.max(SLOW_START_FLOOR, ramp));
+  return (weight * reported + own + 0.01) / share;
+}
+
+function accepts(entry: Entry, demand: Demand, now: number): boolean {
+  if (entry.leaving || entry.ejectedUntil > now) return false;
+  if (demand.exclude?.has(entry.upstream.id)) return false;
+  if (demand.level >= PROTECTED_LEVEL) return true;
+  const fresh = now - entry.reportedAt < ACCEPT_LEVEL_TTL_MS;
+  return !fresh || (entry.report?.acceptLevel ?? 0) <= demand.level;
+}
+
+/** Creates a router that knows no gates. */
+export function createRouter(config: RouterConfig): Router {
+  const subsetSize = config.subsetSize ?? SUBSET_SIZE;
+  const entries = new Map<string, Entry>();
+  const pools = new Map<string, Pool>();
+
+  function adopt(
+    upstream: Upstream,
+    options: { readonly now: number; readonly warm?: boolean },
+  ): Entry {
+    const known = entries.get(upstream.id);
+    const current = known?.upstream.incarnation === upstream.incarnation;
+    if (known && current) {
+      known.upstream = upstream;
+      return known;
+    }
+    const since = options.warm ? -Infinity : options.now;
+    const entry = createEntry(upstream, since);
+    entries.set(upstream.id, entry);
+    return entry;
+  }
+
+  function pickFrom(
+    pool: readonly Entry[],
+    demand: Demand,
+    options: { readonly now: number; readonly random: Random },
+  ): Entry | undefined {
+    const { now, random } = options;
+    const open = pool.filter((entry) => accepts(entry, demand, now));
+    if (open.length <= 1) return open[0];
+    const first = drawIndex(random, open.length);
+    const step = 1 + drawIndex(random, open.length - 1);
+    const a = open[first];
+    const b = open[(first + step) % open.length];
+    if (a === undefined || b === undefined) return a ?? b;
+    return loadOf(a, now) <= loadOf(b, now) ? a : b;
+  }
+
+  function mayEject(service: string, now: number): boolean {
+    const pool = pools.get(service);
+    if (pool === undefined) return false;
+    let ejected = 0;
+    for (const members of pool.byDataCentre.values()) {
+      ejected += members.filter((entry) => entry.ejectedUntil > now).length;
+    }
+    return ejected + 1 <= Math.floor(pool.size * EJECT_SHARE_MAX);
+  }
+
+  function recordFailure(entry: Entry, now: number): void {
+    entry.failures++;
+    if (entry.failures < EJECT_FAILURES) return;
+    if (!mayEject(entry.upstream.service, now)) return;
+    const time = EJECT_BASE_MS * 2 ** entry.ejections;
+    entry.ejectedUntil = now + Math.min(EJECT_MAX_MS, time);
+    entry.ejections++;
+    entry.failures = 0;
+  }
+
+  return {
+    update: (service, upstreams, options) => {
+      const byDataCentre = new Map<string, readonly Entry[]>();
+      const kept = new Set<string>();
+      let size = 0;
+      for (const dataCentre of config.dataCentres) {
+        const local = upstreams.filter((up) => up.dataCentre === dataCentre);
+        const subset = resolveSubset(local, subsetSize, {
+          owner: config.owner,
+        });
+        const members = subset.map((up) => adopt(up, options));
+        for (const { upstream } of members) kept.add(upstream.id);
+        size += members.length;
+        byDataCentre.set(dataCentre, members);
+      }
+      for (const [id, entry] of entries) {
+        if (entry.upstream.service === service && !kept.has(id)) {
+          entries.delete(id);
+        }
+      }
+      pools.set(service, { byDataCentre, size });
+    },
+    pick: (demand, options) => {
+      const pool = pools.get(demand.service);
+      if (pool === undefined) return undefined;
+      for (const dataCentre of config.dataCentres) {
+        const members = pool.byDataCentre.get(dataCentre) ?? [];
+        const entry = pickFrom(members, demand, options);
+        if (entry !== undefined) return entry.upstream;
+      }
+      return undefined;
+    },
+    begin: (id) => {
+      const entry = entries.get(id);
+      if (entry) entry.outstanding++;
+    },
+    end: (id, result, { now }) => {
+      const entry = entries.get(id);
+      if (entry === undefined) return;
+      entry.outstanding = Math.max(0, entry.outstanding - 1);
+      if (result === "failure") return recordFailure(entry, now);
+      entry.failures = 0;
+      if (result === "success") entry.ejections = 0;
+    },
+    report: (id, report, now) => {
+      const entry = entries.get(id);
+      if (entry === undefined) return;
+      entry.report = report;
+      entry.reportedAt = now;
+      if (report.leaving) entry.leaving = true;
+    },
+    markLeaving: (id, incarnation) => {
+      const entry = entries.get(id);
+      if (entry?.upstream.incarnation === incarnation) entry.leaving = true;
+    },
+    forgetLoads: () => {
+      for (const entry of entries.values()) entry.reportedAt = -Infinity;
+    },
+    snapshot: (now) =>
+      [...entries.values()].map((entry) => ({
+        upstream: entry.upstream,
+        outstanding: entry.outstanding,
+        leaving: entry.leaving,
+        ejected: entry.ejectedUntil > now,
+      })),
+  };
+}
--- /dev/null
+++ b/packages/policy/src/tickets.ts
@@ -0,0 +1,168 @@
+/**
+ * Tickets: at most one run of a call that must not repeat. Only the
+ * incarnation that minted a ticket may run it, and it remembers each presented
+ * ticket until the ticket expires; no view of membership is involved.
+ */
+
+import { TICKET_TTL_MS, TICKETS_MAX } from "./constants.ts";
+import type { Outcome } from "./outcome.ts";
+
+/** The contents of a ticket, whose seal the node has checked. */
+export interface Ticket {
+  /** Instance id of the home node. */
+  readonly home: string;
+  /** Incarnation of the home node. */
+  readonly incarnation: string;
+  readonly nonce: string;
+  /** On the home's monotonic clock, in ms. */
+  readonly expiresAt: number;
+}
+
+/** A ticket that is presented with a call. */
+export interface Presentation {
+  readonly ticket: Ticket;
+  /** Digest of account, caller, service, kind and body. */
+  readonly digest: string;
+}
+
+/** What the node has to do with a presented ticket. */
+export type Verdict =
+  | { readonly kind: "run" }
+  | { readonly kind: "join" }
+  | { readonly kind: "saved" }
+  | { readonly kind: "conflict" }
+  | { readonly kind: "expired" }
+  | { readonly kind: "forward"; readonly home: string }
+  | { readonly kind: "home_gone" };
+
+/** Resolved configuration of a ticket book. */
+export interface TicketBookConfig {
+  readonly instance: string;
+  readonly incarnation: string;
+  /**
+   * Lifetime of a ticket in ms.
+   * @default TICKET_TTL_MS
+   */
+  readonly ttlMs?: number;
+  /**
+   * Largest number of unexpired tickets.
+   * @default TICKETS_MAX
+   */
+  readonly ticketsMax?: number;
+  /**
+   * Bytes of saved answers above which no more tickets are minted.
+   * @default 33554432
+   */
+  readonly savedBytesMax?: number;
+}
+
+/** The tickets of one node. */
+export interface TicketBook {
+  /** Mints a ticket, or returns undefined when the book is full. */
+  readonly mint: (nonce: string, now: number) => Ticket | undefined;
+  readonly present: (presentation: Presentation, now: number) => Verdict;
+  /**
+   * Records the outcome of a run. After a true refusal the ticket may be
+   * presented again; any other outcome is kept until the ticket expires.
+   */
+  readonly settle: (
+    nonce: string,
+    outcome: Outcome,
+    options?: { readonly savedBytes: number },
+  ) => void;
+  /** Forgets expired tickets and returns their nonces. */
+  readonly expire: (now: number) => readonly string[];
+  readonly size: () => number;
+}
+
+interface Record {
+  readonly digest: string;
+  readonly expiresAt: number;
+  savedBytes: number;
+  state: "running" | "settled";
+}
+
+const SAVED_BYTES_MAX = 32 * 1024 * 1024;
+
+/** Creates an empty ticket book. */
+export function createTicketBook(config: TicketBookConfig): TicketBook {
+  const ttlMs = config.ttlMs ?? TICKET_TTL_MS;
+  const ticketsMax = config.ticketsMax ?? TICKETS_MAX;
+  const savedBytesMax = config.savedBytesMax ?? SAVED_BYTES_MAX;
+  const records = new Map<string, Record>();
+  // Mint order is expiry order, since the lifetime is the same for all.
+  const minted: number[] = [];
+  let firstMinted = 0;
+  let savedBytes = 0;
+
+  function outstanding(now: number): number {
+    while ((minted[firstMinted] ?? Infinity) <= now) firstMinted++;
+    if (firstMinted > 1024) {
+      minted.splice(0, firstMinted);
+      firstMinted = 0;
+    }
+    return minted.length - firstMinted;
+  }
+
+  function presentHere({ ticket, digest }: Presentation): Verdict {
+    const record = records.get(ticket.nonce);
+    if (record === undefined) {
+      records.set(ticket.nonce, {
+        digest,
+        expiresAt: ticket.expiresAt,
+        savedBytes: 0,
+        state: "running",
+      });
+      return { kind: "run" };
+    }
+    if (record.digest !== digest) return { kind: "conflict" };
+    return { kind: record.state === "running" ? "join" : "saved" };
+  }
+
+  function drop(nonce: string): void {
+    savedBytes -= records.get(nonce)?.savedBytes ?? 0;
+    records.delete(nonce);
+  }
+
+  return {
+    mint: (nonce, now) => {
+      if (outstanding(now) >= ticketsMax) return undefined;
+      if (savedBytes >= savedBytesMax) return undefined;
+      const expiresAt = now + ttlMs;
+      minted.push(expiresAt);
+      const { instance, incarnation } = config;
+      return { home: instance, incarnation, nonce, expiresAt };
+    },
+    present: (presentation, now) => {
+      const { ticket } = presentation;
+      if (ticket.home !== config.instance) {
+        return { kind: "forward", home: ticket.home };
+      }
+      if (ticket.incarnation !== config.incarnation) {
+        return { kind: "home_gone" };
+      }
+      // A record outlives its expiry while its run goes on.
+      const known = records.has(ticket.nonce);
+      if (!known && ticket.expiresAt <= now) return { kind: "expired" };
+      return presentHere(presentation);
+    },
+    settle: (nonce, outcome, options) => {
+      const record = records.get(nonce);
+      if (record === undefined) return;
+      if (outcome.kind === "refused") return drop(nonce);
+      record.state = "settled";
+      record.savedBytes = options?.savedBytes ?? 0;
+      savedBytes += record.savedBytes;
+    },
+    expire: (now) => {
+      const expired: string[] = [];
+      for (const [nonce, record] of records) {
+        const due = record.expiresAt <= now && record.state === "settled";
+        if (due) expired.push(nonce);
+      }
+      for (const nonce of expired) drop(nonce);
+      return expired;
+    },
+    size: () => records.size,
+  };
+}
--- /dev/null
+++ b/packages/policy/src/work_queue.ts
@@ -0,0 +1,173 @@
+/** The queue of one gate: by level, then by kind, then by caller. */
+
+import type { Work } from "./work.ts";
+
+/** A queued piece of work. */
+export interface QueueEntry {
+  readonly work: Work;
+  readonly queuedAt: number;
+}
+
+/** How the next entry of a level is chosen. */
+export interface Choice {
+  /** Newest first, as opposed to oldest first. */
+  readonly newestFirst: boolean;
+  /** How much of the slots a kind uses already; the smallest goes first. */
+  readonly kindUse: (kind: string) => number;
+  /** How much of the slots a caller uses already; the smallest goes first. */
+  readonly callerUse: (caller: string) => number;
+}
+
+/** Queued work, ordered by importance. */
+export interface WorkQueue {
+  readonly size: () => number;
+  readonly push: (entry: QueueEntry) => void;
+  readonly remove: (id: string) => QueueEntry | undefined;
+  /** Entries at `level` or above. */
+  readonly countFrom: (level: number) => number;
+  /** Levels in use, the most important first. */
+  readonly levels: () => readonly number[];
+  /** The entry of the highest level to run next. */
+  readonly choose: (choice: Choice) => QueueEntry | undefined;
+  /** The entry of one kind to run next. */
+  readonly chooseOfKind: (
+    kind: string,
+    choice: Choice,
+  ) => QueueEntry | undefined;
+  /** The entry to give up first: lowest level, greediest kind and caller. */
+  readonly chooseVictim: (choice: Choice) => QueueEntry | undefined;
+  /** Removes and returns the entries whose deadline has passed. */
+  readonly expire: (now: number) => readonly QueueEntry[];
+  /** Arrival time of the oldest entry. */
+  readonly oldestAt: () => number | undefined;
+  readonly entries: () => Iterable<QueueEntry>;
+}
+
+function leastBy<Item>(
+  items: Iterable<Item>,
+  cost: (item: Item) => number,
+): Item | undefined {
+  let best: Item | undefined;
+  let bestCost = Infinity;
+  for (const item of items) {
+    const itemCost = cost(item);
+    if (best !== undefined && itemCost >= bestCost) continue;
+    best = item;
+    bestCost = itemCost;
+  }
+  return best;
+}
+
+/** Creates an empty queue. */
+export function createWorkQueue(): WorkQueue {
+  const byId = new Map<string, QueueEntry>();
+  const byLevel = new Map<number, Map<string, Set<QueueEntry>>>();
+  const counts = new Map<number, number>();
+  let levels: readonly number[] = [];
+
+  function remove(id: string): QueueEntry | undefined {
+    const entry = byId.get(id);
+    if (entry === undefined) return undefined;
+    byId.delete(id);
+    const { level, kind } = entry.work;
+    const kinds = byLevel.get(level);
+    const entries = kinds?.get(kind);
+    entries?.delete(entry);
+    if (entries?.size === 0) kinds?.delete(kind);
+    counts.set(level, (counts.get(level) ?? 1) - 1);
+    if (kinds?.size === 0) {
+      byLevel.delete(level);
+      counts.delete(level);
+      levels = levels.filter((other) => other !== level);
+    }
+    return entry;
+  }
+
+  function push(entry: QueueEntry): void {
+    const { id, level, kind } = entry.work;
+    byId.set(id, entry);
+    let kinds = byLevel.get(level);
+    if (kinds === undefined) {
+      kinds = new Map();
+      byLevel.set(level, kinds);
+      levels = [...levels, level].sort((a, b) => b - a);
+    }
+    const entries = kinds.get(kind) ?? new Set();
+    kinds.set(kind, entries.add(entry));
+    counts.set(level, (counts.get(level) ?? 0) + 1);
+  }
+
+  function nextOf(
+    entries: Iterable<QueueEntry>,
+    choice: Choice,
+  ): QueueEntry | undefined {
+    const list = [...entries];
+    if (choice.newestFirst) list.reverse();
+    return leastBy(list, (entry) => choice.callerUse(entry.work.caller));
+  }
+
+  function chooseAt(level: number, choice: Choice): QueueEntry | undefined {
+    const kinds = byLevel.get(level);
+    if (kinds === undefined) return undefined;
+    const kind = leastBy(kinds.keys(), choice.kindUse);
+    return kind === undefined
+      ? undefined
+      : nextOf(kinds.get(kind) ?? [], choice);
+  }
+
+  function victimAt(level: number, choice: Choice): QueueEntry | undefined {
+    const kinds = byLevel.get(level);
+    if (kinds === undefined) return undefined;
+    const kind = leastBy(
+      kinds.keys(),
+      (name) => -choice.kindUse(name) - (kinds.get(name)?.size ?? 0),
+    );
+    const entries = [...(kinds.get(kind ?? "") ?? [])];
+    const held = new Map<string, number>();
+    for (const { work } of entries) {
+      held.set(work.caller, (held.get(work.caller) ?? 0) + 1);
+    }
+    if (!choice.newestFirst) entries.reverse();
+    return leastBy(entries, ({ work }) => -(held.get(work.caller) ?? 0));
+  }
+
+  return {
+    size: () => byId.size,
+    push,
+    remove,
+    countFrom: (level) => {
+      let count = 0;
+      for (const other of levels) {
+        if (other < level) break;
+        count += counts.get(other) ?? 0;
+      }
+      return count;
+    },
+    levels: () => levels,
+    choose: (choice) => {
+      const top = levels[0];
+      return top === undefined ? undefined : chooseAt(top, choice);
+    },
+    chooseOfKind: (kind, choice) => {
+      for (const level of levels) {
+        const entries = byLevel.get(level)?.get(kind);
+        if (entries !== undefined) return nextOf(entries, choice);
+      }
+      return undefined;
+    },
+    chooseVictim: (choice) => {
+      const bottom = levels.at(-1);
+      return bottom === undefined ? undefined : victimAt(bottom, choice);
+    },
+    expire: (now) => {
+      const expired: QueueEntry[] = [];
+      for (const entry of byId.values()) {
+        if (entry.work.deadlineAt <= now) expired.push(entry);
+      }
+      for (const entry of expired) remove(entry.work.id);
+      return expired;
+    },
+    oldestAt: () => byId.values().next().value?.queuedAt,
+    entries: () => byId.values(),
+  };
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,10 @@
+import { defineConfig } from "vitest/config";
+
+export default defineConfig({
+  test: {
+    include: ["packages/*/src/**/__tests__/*_test.ts"],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    reporters: ["default"],
+  },
+});
