--- /dev/null
+++ b/packages/client/src/mod.ts
@@ -0,0 +1,3 @@
+/** The library for callers. */
+
+export * from "./client.ts";
--- /dev/null
+++ b/packages/node/src/admin/admin_api.ts
@@ -0,0 +1,44 @@
+/** The admin listener: read-only pages for operators. */
+
+import { Hono } from "hono";
+import { readWholeNumber } from "../headers.ts";
+import type { Audit } from "./audit.ts";
+import type { Metrics } from "./metrics.ts";
+
+/** Whether the node takes calls. */
+export type Readiness =
+  | { readonly ready: true }
+  | { readonly ready: false; readonly reason: string };
+
+/** What the admin listener shows. */
+export interface AdminSource {
+  readonly audit: Audit;
+  readonly metrics: Metrics;
+  readonly readiness: () => Readiness;
+  readonly status: () => object;
+}
+
+/** Creates the admin listener's routes. */
+export function createAdminApi(source: AdminSource): Hono {
+  const app = new Hono();
+  app.get("/healthz", (context) => context.json({ alive: true }));
+  app.get("/readyz", (context) => {
+    const readiness = source.readiness();
+    return context.json(readiness, readiness.ready ? 200 : 503);
+  });
+  app.get("/status", (context) => context.json(source.status()));
+  app.get("/metrics", async (context) => {
+    context.header("content-type", source.metrics.contentType);
+    return context.body(await source.metrics.text());
+  });
+  app.get("/audit", (context) => {
+    const after = readWholeNumber(context.req.query("after")) ?? 0;
+    return context.json({ records: source.audit.after(after) });
+  });
+  app.all("*", (context) => {
+    const known = "/healthz, /readyz, /status, /metrics, /audit";
+    const error = `expected GET on one of ${known}`;
+    return context.json({ error }, context.req.method === "GET" ? 404 : 405);
+  });
+  return app;
+}
--- /dev/null
+++ b/packages/node/src/admin/metrics.ts
@@ -0,0 +1,116 @@
+/** Metrics in the Prometheus format. */
+
+import type { GateLoad, Outcome } from "@coltsfootdeal/policy";
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from "prom-client";
+
+/** A finished call of a caller. */
+export interface CallSample {
+  readonly service: string;
+  readonly kind: string;
+  readonly outcome: Outcome;
+  readonly elapsedMs: number;
+}
+
+/** What is read at each scrape. */
+export interface GaugeSource {
+  readonly load: () => GateLoad;
+  readonly bundleVersion: () => number;
+  readonly tickets: () => number;
+  readonly instances: () => number;
+  readonly reader: () => boolean;
+}
+
+/** The metrics of one node. */
+export interface Metrics {
+  readonly observeCall: (sample: CallSample) => void;
+  readonly countDeath: () => void;
+  readonly text: () => Promise<string>;
+  readonly contentType: string;
+  readonly close: () => void;
+}
+
+function reasonOf(outcome: Outcome): string {
+  return "reason" in outcome ? outcome.reason : "";
+}
+
+/** Creates the metrics of one node in a registry of its own. */
+export function createMetrics(source: GaugeSource): Metrics {
+  const registry = new Registry();
+  const registers = [registry];
+  collectDefaultMetrics({ register: registry });
+  const calls = new Counter({
+    name: "coltsfootdeal_calls_total",
+    help: "Calls of callers, by outcome and reason.",
+    labelNames: ["service", "kind", "outcome", "reason"] as const,
+    registers,
+  });
+  const durations = new Histogram({
+    name: "coltsfootdeal_call_duration_seconds",
+    help: "Time from a call's headers to its answer.",
+    labelNames: ["service", "kind"] as const,
+    buckets: [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5],
+    registers,
+  });
+  const deaths = new Counter({
+    name: "coltsfootdeal_backend_deaths_total",
+    help: "Deaths of the own backend server.",
+    registers,
+  });
+
+  function gauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name: `coltsfootdeal_${name}`,
+      help,
+      registers,
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+  gauge(
+    "gate_in_flight",
+    "Runs on the own backend server.",
+    () => source.load().inFlight,
+  );
+  gauge(
+    "gate_queued",
+    "Calls in the gate's queue.",
+    () => source.load().queued,
+  );
+  gauge("gate_limit", "Concurrency limit in force.", () => source.load().limit);
+  gauge(
+    "gate_accept_level",
+    "Lowest level that the gate accepts.",
+    () => source.load().acceptLevel,
+  );
+  gauge(
+    "bundle_version",
+    "Version of the fleet bundle in force; 0 for none.",
+    source.bundleVersion,
+  );
+  gauge("tickets", "Tickets presented and not expired.", source.tickets);
+  gauge("instances", "Instances known.", source.instances);
+  gauge(
+    "reader",
+    "1 while this node watches the platform.",
+    () => Number(source.reader()),
+  );
+
+  return {
+    observeCall: ({ service, kind, outcome, elapsedMs }) => {
+      const reason = reasonOf(outcome);
+      calls.inc({ service, kind, outcome: outcome.kind, reason });
+      durations.observe({ service, kind }, elapsedMs / 1_000);
+    },
+    countDeath: () => deaths.inc(),
+    text: () => registry.metrics(),
+    contentType: registry.contentType,
+    close: () => registry.clear(),
+  };
+}
--- /dev/null
+++ b/packages/node/src/agent/agent.ts
@@ -0,0 +1,462 @@
+/** The agent: distribution of bundles, membership and facts about instances. */
+
+import { createHash } from "node:crypto";
+import { FLEET_SCOPE } from "@coltsfootdeal/bundle";
+import type { Clock } from "@coltsfootdeal/kernel";
+import {
+  BOOTSTRAP_SPREAD_MS,
+  COMPARE_PERIOD_MS,
+  compareVersions,
+  createMembership,
+  createReaders,
+  createSpread,
+  type Death,
+  drawIndex,
+  type InstanceFact,
+  LEAVING_FACT_MS,
+  type ListedInstance,
+  type Membership,
+  type News,
+  type Router,
+  RUMOUR_PERIOD_MS,
+  SUSPECT_TTL_MS,
+  type Suspects,
+} from "@coltsfootdeal/policy";
+import type { Audit } from "../admin/audit.ts";
+import { LOCAL_PEERS, READER_PERIOD_MS, REMOTE_PEERS } from "../constants.ts";
+import { formatAddress, type Settings } from "../settings.ts";
+import type { BundleStore } from "./bundle_store.ts";
+import type { ControlHandler, Identity, PulledValue } from "./control_api.ts";
+import type { ControlClient } from "./control_client.ts";
+import type {
+  PlatformClient,
+  PlatformInstance,
+  PlatformValue,
+} from "./platform_client.ts";
+import { createPlatformWatch } from "./platform_watch.ts";
+
+/** Resolved configuration of an agent. */
+export interface AgentConfig {
+  readonly settings: Settings;
+  readonly incarnation: string;
+  readonly clock: Clock;
+  readonly audit: Audit;
+  readonly store: BundleStore;
+  readonly router: Router;
+  readonly suspects: Suspects;
+  readonly platform: PlatformClient;
+  readonly control: ControlClient;
+}
+
+/** State of the agent, for people. */
+export interface AgentStatus {
+  readonly reader: boolean;
+  /** Whether the platform answered last; undefined if it is not asked. */
+  readonly platformReachable: boolean | undefined;
+  readonly instances: number;
+  readonly topics: number;
+}
+
+/** The agent of one node. */
+export interface Agent {
+  readonly handler: ControlHandler;
+  readonly membership: Membership;
+  readonly start: () => void;
+  /** Learns what an instance says about itself on an answer. */
+  readonly seen: (fact: InstanceFact) => void;
+  /** Learns that a node has a version in force, as a call carries it. */
+  readonly sawVersion: (text: string) => void;
+  /** Asks for a service's bundle; false if no version of it is known. */
+  readonly want: (service: string) => boolean;
+  /** Version and source that this node's calls carry. */
+  readonly versionText: () => string;
+  readonly announceDeath: (death: Death) => void;
+  readonly announceLeaving: () => Promise<void>;
+  readonly status: () => AgentStatus;
+  readonly close: () => void;
+}
+
+const BUNDLE = "bundle/";
+const INSTANCE = "instance/";
+const FACT = "fact/";
+const DEATH = "death/";
+
+function digestOf(text: string): string {
+  return createHash("sha256").update(text).digest("hex").slice(0, 16);
+}
+
+function factNews(fact: InstanceFact): News {
+  const start = Number.parseInt(fact.incarnation, 10) || 0;
+  const value = JSON.stringify(fact);
+  return {
+    topic: FACT + fact.id,
+    // Leaving comes after live in the same incarnation.
+    version: start * 2 + (fact.leaving ? 1 : 0),
+    digest: digestOf(value),
+    value,
+    lifeMs: LEAVING_FACT_MS,
+  };
+}
+
+function deathNews(death: Death): News {
+  const value = JSON.stringify(death);
+  return {
+    topic: DEATH + death.id,
+    version: 1,
+    digest: digestOf(value),
+    value,
+    lifeMs: SUSPECT_TTL_MS,
+  };
+}
+
+function parse<Value>(news: News): Value | undefined {
+  try {
+    return news.value ? JSON.parse(news.value) as Value : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Creates an agent that has not started. */
+export function createAgent(config: AgentConfig): Agent {
+  const { settings, clock, audit, store, router, control } = config;
+  const self = formatAddress(settings.control);
+  const spread = createSpread();
+  const membership = createMembership();
+  const readers = createReaders<ListedInstance>(settings.instance, {
+    dataCentre: settings.dataCentre,
+  });
+  const seeds = settings.seeds.map(formatAddress).filter((a) => a !== self);
+  const called = new Set<string>();
+  const rejected = new Set<string>();
+  const pulling = new Set<string>();
+  const timers: { readonly close: () => void }[] = [];
+  let localPeers: readonly string[] = [];
+  let remotePeers: readonly string[] = [];
+  let bootstrapped = seeds.length === 0;
+  let closed = false;
+
+  const watch = createPlatformWatch({
+    clock,
+    platform: config.platform,
+    onValues: takeValues,
+    onInstances: takeInstances,
+    onState: (reachable) => {
+      audit.record(reachable ? "platform_reachable" : "platform_unreachable");
+    },
+  });
+
+  function takeValues(values: readonly PlatformValue[]): void {
+    for (const { key, value } of values) offerBundle(value, `platform ${key}`);
+  }
+
+  function offerBundle(text: string, from: string): boolean {
+    const offered = store.offer(text, from);
+    if (offered.isErr()) return false;
+    const { version, verdict } = offered.value;
+    if (verdict.kind !== "adopted") return true;
+    const { scope, digest } = version;
+    const topic = BUNDLE + scope;
+    const news = { topic, version: version.version, digest, source: self };
+    spread.receive([news], clock.now());
+    for (const head of spread.topics(BUNDLE)) considerBundle(head);
+    refreshRoutes();
+    return true;
+  }
+
+  function takeInstances(instances: readonly PlatformInstance[]): void {
+    const news = instances.map(({ revision, ...listed }) => {
+      const value = JSON.stringify(listed);
+      const topic = INSTANCE + listed.id;
+      return { topic, version: revision, digest: digestOf(value), value };
+    });
+    learn(news);
+  }
+
+  /** Applies news and tells the parts of the node that it concerns. */
+  function learn(news: readonly News[]): void {
+    const fresh = spread.receive(news, clock.now());
+    let changed = false;
+    for (const item of fresh) {
+      if (item.topic.startsWith(INSTANCE)) changed = learnInstance(item);
+      else if (item.topic.startsWith(FACT)) changed = learnFact(item);
+      else if (item.topic.startsWith(DEATH)) learnDeath(item);
+      else if (item.topic.startsWith(BUNDLE)) considerBundle(item);
+    }
+    if (changed) refreshRoutes();
+  }
+
+  function learnInstance(news: News): boolean {
+    const instance = parse<ListedInstance>(news);
+    if (instance === undefined) return false;
+    const { id, service, dataCentre, state } = instance;
+    if (membership.list(instance, clock.now())) {
+      const event = state === "gone" ? "instance_gone" : "instance_listed";
+      audit.record(event, { id, service, dataCentre, state });
+    }
+    return true;
+  }
+
+  function learnFact(news: News): boolean {
+    const fact = parse<InstanceFact>(news);
+    return fact !== undefined && applyFact(fact);
+  }
+
+  function applyFact(fact: InstanceFact): boolean {
+    if (!membership.learn(fact, clock.now())) return false;
+    if (fact.leaving) {
+      router.markLeaving(fact.id, fact.incarnation);
+      audit.record("instance_leaving", { ...fact });
+    }
+    return true;
+  }
+
+  function learnDeath(news: News): void {
+    const death = parse<Death>(news);
+    // The age of the news stands in for the other node's clock.
+    const age = SUSPECT_TTL_MS - (news.lifeMs ?? SUSPECT_TTL_MS);
+    if (death) config.suspects.record({ ...death, at: clock.now() - age });
+  }
+
+  /** Fleet, own service, and services that this node calls. */
+  function isWanted(scope: string): boolean {
+    return scope === FLEET_SCOPE || scope === settings.service ||
+      called.has(scope) || store.catalog()?.service(scope) !== undefined;
+  }
+
+  function considerBundle(news: News): void {
+    const scope = news.topic.slice(BUNDLE.length);
+    if (!isWanted(scope) || rejected.has(news.digest)) return;
+    const inForce = store.inForce(scope);
+    if (inForce && compareVersions(news, inForce) <= 0) return;
+    pullBundle(news);
+  }
+
+  async function pullBundle(news: News): Promise<void> {
+    const key = `${news.topic}@${news.digest}`;
+    if (pulling.has(key)) return;
+    pulling.add(key);
+    try {
+      const sources = [news.source, ...drawPeers()];
+      for (const source of sources) {
+        if (source === undefined || source === self || closed) continue;
+        if (await pullFrom(source, news)) return;
+      }
+      // Nobody had it: the next comparison brings it up again.
+      restoreHead(news);
+    } finally {
+      pulling.delete(key);
+    }
+  }
+
+  async function pullFrom(source: string, news: News): Promise<boolean> {
+    const pulled = await control.pull(source, [news.topic]);
+    const value = pulled.isOk() ? pulled.value[0]?.value : undefined;
+    if (value === undefined) return false;
+    if (!offerBundle(value, `peer ${source}`)) {
+      rejected.add(news.digest);
+      restoreHead(news);
+      return true;
+    }
+    const scope = news.topic.slice(BUNDLE.length);
+    return (store.inForce(scope)?.version ?? 0) >= news.version;
+  }
+
+  /** Announced versions count only once they have been verified. */
+  function restoreHead(news: News): void {
+    spread.forget(news.topic);
+    const scope = news.topic.slice(BUNDLE.length);
+    const inForce = store.inForce(scope);
+    if (inForce === undefined) return;
+    const { version, digest } = inForce;
+    const head = { topic: news.topic, version, digest, source: self };
+    spread.receive([head], clock.now());
+  }
+
+  function refreshRoutes(): void {
+    const now = clock.now();
+    for (const service of membership.services()) {
+      router.update(service, membership.upstreams(service, now), { now });
+    }
+    const controls = (instances: readonly ListedInstance[]) =>
+      instances.map(({ control }) => control).filter((a) => a !== self);
+    localPeers = controls(membership.members(settings.dataCentre));
+    const others = settings.dataCentres.slice(1);
+    remotePeers = others.flatMap((name) => controls(membership.members(name)));
+  }
+
+  function sample(from: readonly string[], count: number): readonly string[] {
+    if (from.length <= count) return from;
+    const start = drawIndex(Math.random, from.length);
+    const stride = 1 + drawIndex(Math.random, from.length - 1);
+    const drawn = new Set<string>();
+    for (let index = 0; index < count; index++) {
+      const peer = from[(start + index * stride) % from.length];
+      if (peer !== undefined) drawn.add(peer);
+    }
+    return [...drawn];
+  }
+
+  function drawPeers(): readonly string[] {
+    const peers = [
+      ...sample(localPeers, LOCAL_PEERS),
+      ...sample(remotePeers, REMOTE_PEERS),
+    ];
+    return peers.length > 0 ? peers : seeds;
+  }
+
+  function pushRumours(): void {
+    const options = { now: clock.now(), random: Math.random };
+    for (const { peer, news } of spread.round(drawPeers(), options)) {
+      control.push(peer, news);
+    }
+  }
+
+  async function compareWith(peer: string): Promise<boolean> {
+    const reply = await control.compare(peer, spread.compare(clock.now()));
+    if (reply.isErr()) return false;
+    learn(reply.value.recent);
+    if (reply.value.buckets === undefined) return true;
+    const mine = spread.differing(reply.value.buckets, clock.now());
+    const hashes = spread.buckets(clock.now());
+    const theirs = await control.differing(peer, hashes);
+    if (theirs.isErr()) return false;
+    learn(theirs.value);
+    if (mine.length > 0) await control.push(peer, mine.slice(0, 1_024));
+    return true;
+  }
+
+  function comparePeer(): void {
+    const peers = drawPeers();
+    const peer = peers[drawIndex(Math.random, peers.length)];
+    if (peer !== undefined) compareWith(peer);
+  }
+
+  async function bootstrap(): Promise<void> {
+    const deadline = clock.now() + Math.random() * BOOTSTRAP_SPREAD_MS;
+    while (!bootstrapped && !closed && clock.now() < deadline) {
+      for (const seed of sample(seeds, 3)) {
+        const done = await compareWith(seed);
+        if (done && store.catalog() !== undefined) bootstrapped = true;
+        if (bootstrapped) return;
+      }
+      await new Promise<void>((resolve) => clock.after(500, resolve));
+    }
+    bootstrapped = true;
+  }
+
+  function checkReader(): void {
+    if (!bootstrapped) return;
+    const members = membership.members(settings.dataCentre);
+    const role = readers.role(members, clock.now());
+    const shouldRead = role.kind === "reader" || store.catalog() === undefined;
+    if (shouldRead && !watch.active()) {
+      audit.record("reader_started");
+      watch.start();
+    }
+    if (!shouldRead && watch.active()) {
+      audit.record("reader_stopped");
+      watch.stop();
+    }
+    if (role.kind === "standby") probe(role.probe);
+  }
+
+  async function probe(members: readonly ListedInstance[]): Promise<void> {
+    for (const { id, control: address } of members) {
+      const reply = await control.identity(address);
+      readers.probed(id, reply.isOk(), clock.now());
+    }
+  }
+
+  function identity(): Identity {
+    return {
+      instance: settings.instance,
+      incarnation: config.incarnation,
+      ready: store.catalog() !== undefined,
+    };
+  }
+
+  function pull(topics: readonly string[]): readonly PulledValue[] {
+    return topics.flatMap((topic) => {
+      const scope = topic.startsWith(BUNDLE)
+        ? topic.slice(BUNDLE.length)
+        : undefined;
+      const value = scope === undefined ? undefined : store.textOf(scope);
+      return value === undefined ? [] : [{ topic, value }];
+    });
+  }
+
+  return {
+    handler: {
+      identity,
+      push: learn,
+      compare: (comparison) => {
+        learn(comparison.recent);
+        return spread.reply(comparison, clock.now());
+      },
+      differing: (buckets) => spread.differing(buckets, clock.now()),
+      pull,
+    },
+    membership,
+    start: () => {
+      const { instance: id } = settings;
+      const { incarnation } = config;
+      learn([factNews({ id, incarnation, leaving: false })]);
+      timers.push(
+        clock.every(RUMOUR_PERIOD_MS, pushRumours),
+        clock.every(COMPARE_PERIOD_MS, comparePeer),
+        clock.every(READER_PERIOD_MS, checkReader),
+      );
+      bootstrap().then(checkReader);
+    },
+    seen: (fact) => {
+      if (applyFact(fact)) {
+        spread.receive([factNews(fact)], clock.now());
+        refreshRoutes();
+      }
+    },
+    sawVersion: (text) => {
+      const [head = "", source] = text.split("@");
+      const [versionText, digest] = head.split(":");
+      const version = Number(versionText);
+      if (!source || !digest || !Number.isSafeInteger(version)) return;
+      const inForce = store.inForce(FLEET_SCOPE);
+      if (inForce !== undefined && inForce.version >= version) return;
+      learn([{ topic: BUNDLE + FLEET_SCOPE, version, digest, source }]);
+    },
+    want: (service) => {
+      const head = spread.find(BUNDLE + service);
+      if (head === undefined || store.inForce(service)) return false;
+      called.add(service);
+      considerBundle(head);
+      return true;
+    },
+    versionText: () => {
+      const inForce = store.inForce(FLEET_SCOPE);
+      return inForce ? `${inForce.version}:${inForce.digest}@${self}` : "";
+    },
+    announceDeath: (death) => {
+      config.suspects.record(death);
+      learn([deathNews(death)]);
+      pushRumours();
+    },
+    announceLeaving: async () => {
+      const { instance: id } = settings;
+      const { incarnation } = config;
+      const news = factNews({ id, incarnation, leaving: true });
+      learn([news]);
+      await Promise.all(drawPeers().map((peer) => control.push(peer, [news])));
+    },
+    status: () => ({
+      reader: watch.active(),
+      platformReachable: watch.active() ? watch.reachable() : undefined,
+      instances: membership.all().length,
+      topics: spread.size(),
+    }),
+    close: () => {
+      closed = true;
+      watch.close();
+      for (const timer of timers) timer.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/node/src/agent/platform_client.ts
@@ -0,0 +1,118 @@
+/** Reads and watches the platform; nothing is ever written to it. */
+
+import type { ListedInstance } from "@coltsfootdeal/policy";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import type { HttpClient } from "../http_client.ts";
+import { type Address, formatAddress } from "../settings.ts";
+
+/** A value of the configuration service. */
+export interface PlatformValue {
+  readonly key: string;
+  readonly revision: number;
+  readonly value: string;
+}
+
+/** An entry of the instance list. */
+export interface PlatformInstance extends ListedInstance {
+  readonly revision: number;
+}
+
+/** What changed after a revision. */
+export interface PlatformChanges<Item> {
+  readonly revision: number;
+  readonly items: readonly Item[];
+}
+
+/** Why the platform gave nothing. */
+export type PlatformError = "unreachable" | "malformed";
+
+/** Which changes are asked for. */
+export interface WatchQuery {
+  /** Revision that is known already; 0 for none. */
+  readonly after: number;
+  /** How long the platform may wait for a change. */
+  readonly waitMs: number;
+}
+
+/** The platform, as its readers see it. */
+export interface PlatformClient {
+  readonly values: (
+    query: WatchQuery,
+    signal: AbortSignal,
+  ) => Promise<Result<PlatformChanges<PlatformValue>, PlatformError>>;
+  readonly instances: (
+    query: WatchQuery,
+    signal: AbortSignal,
+  ) => Promise<Result<PlatformChanges<PlatformInstance>, PlatformError>>;
+}
+
+const VALUES = z.object({
+  revision: z.number(),
+  items: z.array(z.object({
+    key: z.string(),
+    revision: z.number(),
+    value: z.string(),
+  })),
+});
+
+const INSTANCES = z.object({
+  revision: z.number(),
+  items: z.array(z.object({
+    id: z.string(),
+    service: z.string(),
+    dataCentre: z.string(),
+    address: z.string(),
+    control: z.string(),
+    state: z.enum(["live", "leaving", "gone"]),
+    revision: z.number(),
+  })),
+});
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Creates a client of the platform at `address`. */
+export function createPlatformClient(
+  address: Address,
+  client: HttpClient,
+): PlatformClient {
+  const origin = `http://${formatAddress(address)}`;
+
+  async function get<Schema extends z.ZodType>(
+    path: string,
+    schema: Schema,
+    options: { readonly signal: AbortSignal; readonly timeoutMs: number },
+  ): Promise<Result<z.output<Schema>, PlatformError>> {
+    const timeout = AbortSignal.timeout(options.timeoutMs);
+    const signal = AbortSignal.any([options.signal, timeout]);
+    const end = await client.send({ origin, path, method: "GET", signal });
+    if (end.kind !== "response" || end.status !== 200) {
+      return err("unreachable");
+    }
+    const parsed = schema.safeParse(parseJson(end.body.toString("utf8")));
+    return parsed.success ? ok(parsed.data) : err("malformed");
+  }
+
+  function query({ after, waitMs }: WatchQuery): string {
+    return `after=${after}&wait_ms=${waitMs}`;
+  }
+
+  return {
+    values: (watch, signal) =>
+      get(`/v1/values?prefix=bundles/&${query(watch)}`, VALUES, {
+        signal,
+        timeoutMs: watch.waitMs + 5_000,
+      }),
+    instances: (watch, signal) =>
+      get(`/v1/instances?${query(watch)}`, INSTANCES, {
+        signal,
+        timeoutMs: watch.waitMs + 5_000,
+      }),
+  };
+}
--- /dev/null
+++ b/packages/node/src/agent/platform_watch.ts
@@ -0,0 +1,111 @@
+/** Watches the platform while this node is a reader. */
+
+import type { Clock } from "@coltsfootdeal/kernel";
+import type { Result } from "neverthrow";
+import {
+  PLATFORM_RETRY_MAX_MS,
+  PLATFORM_RETRY_MS,
+  WATCH_WAIT_MS,
+} from "../constants.ts";
+import type {
+  PlatformChanges,
+  PlatformClient,
+  PlatformError,
+  PlatformInstance,
+  PlatformValue,
+  WatchQuery,
+} from "./platform_client.ts";
+
+/** Resolved configuration of a watch. */
+export interface PlatformWatchConfig {
+  readonly clock: Clock;
+  readonly platform: PlatformClient;
+  readonly onValues: (values: readonly PlatformValue[]) => void;
+  readonly onInstances: (instances: readonly PlatformInstance[]) => void;
+  readonly onState: (reachable: boolean) => void;
+}
+
+/** A watch that can be switched on and off. */
+export interface PlatformWatch {
+  readonly start: () => void;
+  readonly stop: () => void;
+  readonly active: () => boolean;
+  readonly reachable: () => boolean;
+  readonly close: () => void;
+}
+
+type Read<Item> = (
+  query: WatchQuery,
+  signal: AbortSignal,
+) => Promise<Result<PlatformChanges<Item>, PlatformError>>;
+
+/** Creates a watch that is switched off. */
+export function createPlatformWatch(
+  config: PlatformWatchConfig,
+): PlatformWatch {
+  const { clock, platform } = config;
+  let abort: AbortController | undefined;
+  let reachable = false;
+
+  function setReachable(next: boolean): void {
+    if (reachable === next) return;
+    reachable = next;
+    config.onState(next);
+  }
+
+  function sleep(delayMs: number, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = clock.after(delayMs, resolve);
+      signal.addEventListener("abort", () => {
+        timer.close();
+        resolve();
+      }, { once: true });
+    });
+  }
+
+  async function loop<Item>(
+    read: Read<Item>,
+    onItems: (items: readonly Item[]) => void,
+    options: { readonly signal: AbortSignal },
+  ): Promise<void> {
+    const { signal } = options;
+    let after = 0;
+    let failures = 0;
+    while (!signal.aborted) {
+      // The first read after an error does not wait, so that a revision that
+      // went back is noticed at once.
+      const waitMs = after === 0 || failures > 0 ? 0 : WATCH_WAIT_MS;
+      const result = await read({ after, waitMs }, signal);
+      if (signal.aborted) return;
+      if (result.isErr()) {
+        failures++;
+        setReachable(false);
+        const backoff = PLATFORM_RETRY_MS * 2 ** Math.min(failures, 10);
+        const ceiling = Math.min(PLATFORM_RETRY_MAX_MS, backoff);
+        await sleep(ceiling * (0.5 + Math.random() / 2), signal);
+        continue;
+      }
+      failures = 0;
+      setReachable(true);
+      after = result.value.revision;
+      if (result.value.items.length > 0) onItems(result.value.items);
+    }
+  }
+
+  return {
+    start: () => {
+      if (abort !== undefined) return;
+      abort = new AbortController();
+      const { signal } = abort;
+      loop(platform.values, config.onValues, { signal });
+      loop(platform.instances, config.onInstances, { signal });
+    },
+    stop: () => {
+      abort?.abort();
+      abort = undefined;
+    },
+    active: () => abort !== undefined,
+    reachable: () => reachable,
+    close: () => abort?.abort(),
+  };
+}
--- /dev/null
+++ b/packages/node/src/chains.ts
@@ -0,0 +1,48 @@
+/**
+ * Runs on the own backend server, by the id that it echoes on calls further
+ * down: what such a call inherits, and what is cancelled with its parent.
+ */
+
+/** A run, as far as the calls further down are concerned. */
+export interface ChainParent {
+  readonly level: number;
+  readonly deadlineAt: number;
+}
+
+/** The runs in flight and the calls that they have made. */
+export interface Chains {
+  readonly open: (runId: string, parent: ChainParent) => void;
+  readonly find: (runId: string) => ChainParent | undefined;
+  /** Registers a call further down; returns how to unregister it. */
+  readonly attach: (runId: string, cancel: () => void) => () => void;
+  /** Ends a run and cancels the calls that it has not waited for. */
+  readonly close: (runId: string) => void;
+}
+
+interface Entry {
+  readonly parent: ChainParent;
+  readonly children: Set<() => void>;
+}
+
+/** Creates an empty register. */
+export function createChains(): Chains {
+  const entries = new Map<string, Entry>();
+  return {
+    open: (runId, parent) => {
+      entries.set(runId, { parent, children: new Set() });
+    },
+    find: (runId) => entries.get(runId)?.parent,
+    attach: (runId, cancel) => {
+      const children = entries.get(runId)?.children;
+      children?.add(cancel);
+      return () => {
+        children?.delete(cancel);
+      };
+    },
+    close: (runId) => {
+      const children = entries.get(runId)?.children ?? [];
+      entries.delete(runId);
+      for (const cancel of children) cancel();
+    },
+  };
+}
--- /dev/null
+++ b/packages/node/src/constants.ts
@@ -0,0 +1,44 @@
+/** Constants of the node, with their units. */
+
+/** Period of the gate's clock while work is queued or running. */
+export const GATE_TICK_MS = 10;
+/** Period of housekeeping (expiry, pause detection). */
+export const HOUSEKEEPING_MS = 250;
+/** Time for which losses of a backend server's connections are gathered. */
+export const DEATH_WINDOW_MS = 50;
+/** Time for which a leaving node goes on refusing before it stops listening. */
+export const DRAIN_QUIET_MS = 3_000;
+/** Longest time to establish a connection. */
+export const CONNECT_TIMEOUT_MS = 500;
+/** Time to receive the headers of a request. */
+export const HEADERS_TIMEOUT_MS = 5_000;
+/** Time to receive a whole request. */
+export const REQUEST_TIMEOUT_MS = 30_000;
+/** Idle time after which a server closes a connection; above the client's. */
+export const SERVER_KEEP_ALIVE_MS = 65_000;
+/** Idle time after which a client closes a connection. */
+export const CLIENT_KEEP_ALIVE_MS = 30_000;
+/** Wait of a watch on the platform. */
+export const WATCH_WAIT_MS = 30_000;
+/** Longest wait before the platform is asked again after an error. */
+export const PLATFORM_RETRY_MAX_MS = 10_000;
+/** First wait before the platform is asked again after an error. */
+export const PLATFORM_RETRY_MS = 200;
+/** Period of probes of the backend server's health page. */
+export const HEALTH_PERIOD_MS = 1_000;
+/** Audit records kept in memory. */
+export const AUDIT_RECORDS = 1_000;
+/** Largest number of tickets minted by one request. */
+export const TICKETS_PER_REQUEST_MAX = 100;
+/** Longest time that a run with a ticket is waited for after its deadline. */
+export const LATE_ANSWER_MS = 30_000;
+/** Longest wait for another node's reply to a control message. */
+export const CONTROL_TIMEOUT_MS = 2_000;
+/** Period in which a node checks whether it is to watch the platform. */
+export const READER_PERIOD_MS = 1_000;
+/** Peers of other data centres among the candidates of one round. */
+export const REMOTE_PEERS = 2;
+/** Peers of the own data centre among the candidates of one round. */
+export const LOCAL_PEERS = 8;
+/** Connections to other nodes' control listeners that are kept. */
+export const CONTROL_CLIENTS_MAX = 256;
--- /dev/null
+++ b/packages/node/src/gate/gate.ts
@@ -0,0 +1,312 @@
+/** The gate: a task that owns admission to the own backend server. */
+
+import type { Buffer } from "node:buffer";
+import type { Catalog, Service } from "@coltsfootdeal/bundle";
+import { type Clock, createTask } from "@coltsfootdeal/kernel";
+import {
+  type Admission,
+  createAdmission,
+  type Death,
+  type GateAction,
+  type GateLoad,
+  type Ledger,
+  refused,
+  unknown,
+  type Work,
+} from "@coltsfootdeal/policy";
+import { type Answer, bareAnswer } from "../answer.ts";
+import type { Chains } from "../chains.ts";
+import { DEATH_WINDOW_MS, GATE_TICK_MS } from "../constants.ts";
+import type { BackendServer, RunEnd } from "./backend_server.ts";
+import { createLosses } from "./losses.ts";
+
+/** A call that another node, or the own ingress, brings to this gate. */
+export interface GateCall {
+  /** Id of the attempt; unique. */
+  readonly id: string;
+  readonly kind: string;
+  readonly level: number;
+  readonly account: string;
+  readonly caller: string;
+  readonly deadlineAt: number;
+  /** Retries for the calls further down. */
+  readonly allowance: number;
+  readonly alone: boolean;
+  /** Digest of kind and body. */
+  readonly digest: string;
+  readonly contentType: string | undefined;
+  readonly body: Buffer;
+}
+
+/** What the gate replies. */
+export interface GateReply {
+  readonly answer: Answer;
+  /** Retries that were not spent further down. */
+  readonly unspent: number;
+  /** The death of the backend server during this run. */
+  readonly death?: Death;
+}
+
+/** Resolved configuration of a gate. */
+export interface GateConfig {
+  readonly instance: string;
+  readonly incarnation: string;
+  readonly service: string;
+  readonly clock: Clock;
+  readonly backend: BackendServer;
+  readonly ledger: Ledger;
+  readonly chains: Chains;
+  /** Told of each death of the backend server. */
+  readonly onDeath: (death: Death) => void;
+  /** Told when a call that ran alone did no harm. */
+  readonly onHarmless: (digest: string) => void;
+}
+
+/** The gate of one backend server. */
+export interface Gate {
+  /** Runs a call, or refuses it. */
+  readonly submit: (call: GateCall, signal: AbortSignal) => Promise<GateReply>;
+  /** Applies the bundle in force. */
+  readonly configure: (catalog: Catalog) => void;
+  readonly load: () => GateLoad;
+  readonly leave: () => void;
+  readonly idle: () => boolean;
+  readonly close: () => void;
+}
+
+type Message =
+  | { readonly kind: "offer"; readonly job: Job }
+  | { readonly kind: "ended"; readonly job: Job; readonly end: RunEnd }
+  | { readonly kind: "abandoned"; readonly job: Job }
+  | { readonly kind: "configure"; readonly catalog: Catalog }
+  | { readonly kind: "tick" }
+  | { readonly kind: "leave" };
+
+interface Job {
+  readonly call: GateCall;
+  readonly work: Work;
+  readonly reply: (reply: GateReply) => void;
+  readonly abort: AbortController;
+  started: boolean;
+}
+
+function floorsOf(
+  catalog: Catalog,
+  service: string,
+): ReadonlyMap<string, number> {
+  const floored = catalog.kindsOf(service).filter((kind) => kind.floor > 0);
+  return new Map(floored.map((kind) => [kind.name, kind.floor]));
+}
+
+/** Creates a gate; it refuses all work until it is configured. */
+export function createGate(config: GateConfig): Gate {
+  const { clock, ledger, chains } = config;
+  const jobs = new Map<string, Job>();
+  let admission: Admission | undefined;
+  let contract: Service | undefined;
+  let catalog: Catalog | undefined;
+  let leaving = false;
+  let deaths = 0;
+  let lastDeath: Death | undefined;
+
+  const losses = createLosses({
+    wait: () => new Promise((resolve) => clock.after(DEATH_WINDOW_MS, resolve)),
+    onDeath: (runIds) => recordDeath(runIds),
+  });
+  const digests = new Map<string, string>();
+  const task = createTask<Message>(handle);
+  const ticker = clock.every(GATE_TICK_MS, () => {
+    if (jobs.size > 0) task.post({ kind: "tick" });
+  });
+
+  function recordDeath(runIds: readonly string[]): void {
+    deaths++;
+    const running = runIds.map((runId) => digests.get(runId) ?? "");
+    lastDeath = {
+      id: `${config.instance}/${config.incarnation}/${deaths}`,
+      instance: config.instance,
+      at: clock.now(),
+      digests: [...new Set(running.filter((digest) => digest !== ""))],
+    };
+    admission?.restart();
+    config.onDeath(lastDeath);
+  }
+
+  function configure(next: Catalog): void {
+    catalog = next;
+    const service = next.service(config.service);
+    if (service === undefined) return;
+    contract = service;
+    const floors = floorsOf(next, config.service);
+    if (admission === undefined) {
+      admission = createAdmission({ slots: service.slots, floors });
+      if (leaving) admission.leave();
+    } else {
+      admission.configure({ slots: service.slots, floors });
+    }
+  }
+
+  function finish(job: Job, answer: Answer, death?: Death): void {
+    jobs.delete(job.call.id);
+    digests.delete(job.call.id);
+    const unspent = job.started ? ledger.close(job.call.id) : 0;
+    if (job.started) chains.close(job.call.id);
+    job.reply({ answer, unspent, ...(death === undefined ? {} : { death }) });
+  }
+
+  function start(job: Job): void {
+    const { call } = job;
+    const now = clock.now();
+    const service = contract;
+    if (service === undefined) return;
+    job.started = true;
+    ledger.open(call.id, call.allowance);
+    chains.open(call.id, { level: call.level, deadlineAt: call.deadlineAt });
+    digests.set(call.id, call.digest);
+    losses.started(call.id);
+    const running = config.backend.run({
+      runId: call.id,
+      kind: call.kind,
+      account: call.account,
+      caller: call.caller,
+      remainingMs: call.deadlineAt - now,
+      contentType: call.contentType,
+      body: call.body,
+      signal: job.abort.signal,
+    }, service);
+    running.then((end) => task.post({ kind: "ended", job, end }));
+  }
+
+  function perform(actions: readonly GateAction[]): void {
+    for (const action of actions) {
+      const job = jobs.get(action.work.id);
+      if (job === undefined) continue;
+      switch (action.kind) {
+        case "run":
+          start(job);
+          break;
+        case "cancel":
+          job.abort.abort();
+          break;
+        case "refuse": {
+          const outcome = refused(action.reason, action.retryAfterMs);
+          finish(job, bareAnswer(outcome));
+          break;
+        }
+      }
+    }
+  }
+
+  function cancelReason(job: Job): "deadline" | "displaced" {
+    return clock.now() >= job.call.deadlineAt ? "deadline" : "displaced";
+  }
+
+  function reply(job: Job, end: RunEnd): void {
+    switch (end.kind) {
+      case "response": {
+        if (job.call.alone) config.onHarmless(job.call.digest);
+        const { status, contentType, body } = end;
+        const kind = status >= 500 ? "failed" : "answered";
+        return finish(job, { outcome: { kind }, status, contentType, body });
+      }
+      case "shed":
+        return finish(job, bareAnswer(refused("shed")));
+      case "not_sent":
+        return finish(job, bareAnswer(refused("unreachable")));
+      case "truncated":
+        return finish(job, bareAnswer(unknown("truncated")));
+      case "cancelled":
+        return finish(job, bareAnswer(unknown(cancelReason(job))));
+      case "lost":
+        // The reply waits until it is known whether the backend server died.
+        losses.lost(job.call.id).then((died) => {
+          const reason = died ? "backend_died" : "connection_lost";
+          const death = died ? lastDeath : undefined;
+          finish(job, bareAnswer(unknown(reason)), death);
+        });
+        return;
+    }
+  }
+
+  function handle(message: Message): void {
+    const now = clock.now();
+    switch (message.kind) {
+      case "offer": {
+        const { job } = message;
+        if (admission === undefined) {
+          return finish(job, bareAnswer(refused("not_ready")));
+        }
+        return perform(admission.offer(job.work, now));
+      }
+      case "ended": {
+        const { job, end } = message;
+        if (end.kind !== "lost") losses.ended(job.call.id);
+        reply(job, end);
+        const shed = end.kind === "shed";
+        return perform(admission?.finish(job.call.id, { shed }, { now }) ?? []);
+      }
+      case "abandoned": {
+        const { job } = message;
+        perform(admission?.abandon(job.call.id, now) ?? []);
+        if (!job.started) finish(job, bareAnswer(refused("cancelled")));
+        return;
+      }
+      case "configure":
+        return configure(message.catalog);
+      case "tick":
+        return perform(admission?.tick(now) ?? []);
+      case "leave":
+        leaving = true;
+        return admission?.leave();
+    }
+  }
+
+  function workOf(call: GateCall): Work {
+    const kind = catalog?.kind(config.service, call.kind);
+    const accepts = contract?.cancellation === "close";
+    return {
+      id: call.id,
+      kind: call.kind,
+      level: call.level,
+      caller: `${call.account}/${call.caller}`,
+      deadlineAt: call.deadlineAt,
+      cancellable: accepts && kind?.idempotent === true,
+      alone: call.alone,
+    };
+  }
+
+  function submit(call: GateCall, signal: AbortSignal): Promise<GateReply> {
+    return new Promise((resolve) => {
+      const job: Job = {
+        call,
+        work: workOf(call),
+        reply: resolve,
+        abort: new AbortController(),
+        started: false,
+      };
+      if (jobs.has(call.id)) {
+        const answer = bareAnswer(unknown("connection_lost"));
+        return resolve({ answer, unspent: 0 });
+      }
+      jobs.set(call.id, job);
+      task.post({ kind: "offer", job });
+      signal.addEventListener("abort", () => {
+        if (jobs.has(call.id)) task.post({ kind: "abandoned", job });
+      }, { once: true });
+    });
+  }
+
+  return {
+    submit,
+    configure: (next) => task.post({ kind: "configure", catalog: next }),
+    load: () =>
+      admission?.load(clock.now()) ??
+        { inFlight: 0, queued: 0, limit: 1, acceptLevel: 0, leaving },
+    leave: () => task.post({ kind: "leave" }),
+    idle: () => jobs.size === 0,
+    close: () => {
+      ticker.close();
+      task.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/node/src/headers.ts
@@ -0,0 +1,78 @@
+/** Names and codecs of the headers that calls and answers carry. */
+
+import type { GateLoad, Outcome, UpstreamReport } from "@coltsfootdeal/policy";
+
+/** Header names. */
+export const HEADER = {
+  account: "coltsfootdeal-account",
+  caller: "coltsfootdeal-caller",
+  request: "coltsfootdeal-request",
+  attempt: "coltsfootdeal-attempt",
+  deadline: "coltsfootdeal-deadline-ms",
+  ticket: "coltsfootdeal-ticket",
+  parent: "coltsfootdeal-parent",
+  call: "coltsfootdeal-call",
+  level: "coltsfootdeal-level",
+  allowance: "coltsfootdeal-allowance",
+  alone: "coltsfootdeal-alone",
+  digest: "coltsfootdeal-digest",
+  bundle: "coltsfootdeal-bundle",
+  outcome: "coltsfootdeal-outcome",
+  reason: "coltsfootdeal-reason",
+  retryAfter: "coltsfootdeal-retry-after-ms",
+  unspent: "coltsfootdeal-unspent",
+  status: "coltsfootdeal-status",
+  load: "coltsfootdeal-load",
+  instance: "coltsfootdeal-instance",
+  incarnation: "coltsfootdeal-incarnation",
+  death: "coltsfootdeal-death",
+} as const;
+
+/** Reads a whole number from a header; undefined if it is none. */
+export function readWholeNumber(
+  text: string | null | undefined,
+): number | undefined {
+  if (text === null || text === undefined) return undefined;
+  return /^\d{1,12}$/.test(text) ? Number(text) : undefined;
+}
+
+/** Writes a gate's load. */
+export function formatLoad(load: GateLoad): string {
+  const { inFlight, queued, limit, acceptLevel, leaving } = load;
+  return [inFlight, queued, limit, acceptLevel, leaving ? 1 : 0].join(" ");
+}
+
+/** Reads a gate's load; undefined if the text is none. */
+export function parseLoad(
+  text: string | null | undefined,
+): UpstreamReport | undefined {
+  const fields = (text ?? "").split(" ").map(readWholeNumber);
+  const [inFlight, queued, limit, acceptLevel, leaving] = fields;
+  if (
+    inFlight === undefined || queued === undefined || limit === undefined ||
+    acceptLevel === undefined || leaving === undefined
+  ) {
+    return undefined;
+  }
+  return { inFlight, queued, limit, acceptLevel, leaving: leaving === 1 };
+}
+
+/** The headers that state an outcome. */
+export function outcomeHeaders(outcome: Outcome): Record<string, string> {
+  switch (outcome.kind) {
+    case "answered":
+    case "failed":
+      return { [HEADER.outcome]: outcome.kind };
+    case "unknown":
+      return {
+        [HEADER.outcome]: outcome.kind,
+        [HEADER.reason]: outcome.reason,
+      };
+    case "refused":
+      return {
+        [HEADER.outcome]: outcome.kind,
+        [HEADER.reason]: outcome.reason,
+        [HEADER.retryAfter]: String(Math.ceil(outcome.retryAfterMs)),
+      };
+  }
+}
--- /dev/null
+++ b/packages/node/src/ingress/data_api.ts
@@ -0,0 +1,264 @@
+/** The data listener: calls from callers and from other nodes. */
+
+import type { Buffer } from "node:buffer";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Catalog } from "@coltsfootdeal/bundle";
+import type { Clock } from "@coltsfootdeal/kernel";
+import { type Outcome, refused, unknown } from "@coltsfootdeal/policy";
+import { type Context, Hono } from "hono";
+import { type Answer, bareAnswer } from "../answer.ts";
+import { readBody } from "../body.ts";
+import { TICKETS_PER_REQUEST_MAX } from "../constants.ts";
+import type { Gate, GateReply } from "../gate/gate.ts";
+import {
+  formatLoad,
+  HEADER,
+  outcomeHeaders,
+  readWholeNumber,
+} from "../headers.ts";
+import { formatDeath } from "./forwarder.ts";
+import type { Ingress, WholeRequest } from "./ingress.ts";
+import { type RequestError, resolveBearer, resolveRequest } from "./request.ts";
+import { formatTickets, type Ticketed } from "./ticketed.ts";
+
+/** What the Node.js adapter puts beside each request. */
+export interface NodeBindings {
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+}
+
+/** A finished call, for metrics. */
+export interface FinishedCall {
+  readonly service: string;
+  readonly kind: string;
+  readonly outcome: Outcome;
+  readonly elapsedMs: number;
+}
+
+/** Resolved configuration of the data listener. */
+export interface DataApiConfig {
+  readonly instance: string;
+  readonly incarnation: string;
+  readonly service: string;
+  readonly clock: Clock;
+  readonly catalog: () => Catalog | undefined;
+  readonly gate: Gate;
+  readonly ingress: Ingress;
+  readonly ticketed: Ticketed;
+  readonly leaving: () => boolean;
+  /** Told the bundle version that another node has in force. */
+  readonly onVersion: (version: string) => void;
+  /** Whether a service's bundle is known elsewhere and being fetched. */
+  readonly onUnknownService: (service: string) => boolean;
+  readonly onFinished: (finished: FinishedCall) => void;
+}
+
+type ApiContext = Context<{ Bindings: NodeBindings }>;
+
+/** Wait suggested while a service's bundle is fetched. */
+const NOT_READY_RETRY_MS = 200;
+/** Largest body that a gate takes from another node. */
+const RELAYED_BODY_MAX_BYTES = 8 * 1024 * 1024;
+
+function statusOf(answer: Answer): number {
+  const { outcome } = answer;
+  switch (outcome.kind) {
+    case "answered":
+      return answer.status ?? 200;
+    case "failed":
+      return 502;
+    case "unknown":
+      return outcome.reason === "ticket_invalid" ? 400 : 504;
+    case "refused":
+      return outcome.reason === "ticket_conflict" ? 409 : 503;
+  }
+}
+
+/** Signals that the other end has closed the connection. */
+function goneSignal(context: ApiContext): AbortSignal {
+  const abort = new AbortController();
+  const { outgoing } = context.env;
+  outgoing.once("close", () => {
+    if (!outgoing.writableFinished) abort.abort();
+  });
+  return abort.signal;
+}
+
+function respond(
+  body: Buffer | string,
+  init: {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+  },
+): Response {
+  // A status without a body must be built without one.
+  const empty = init.status === 204 || init.status === 304;
+  const payload = typeof body === "string" ? body : new Uint8Array(body);
+  return new Response(empty ? null : payload, init);
+}
+
+function refuseRequest(error: RequestError): Response {
+  const headers = {
+    "content-type": "application/json",
+    ...outcomeHeaders(refused("invalid")),
+  };
+  const body = JSON.stringify({ error: error.message });
+  return respond(body, { status: error.status, headers });
+}
+
+/** Creates the data listener's routes. */
+export function createDataApi(
+  config: DataApiConfig,
+): Hono<{ Bindings: NodeBindings }> {
+  const { clock, gate } = config;
+  const identity = {
+    [HEADER.instance]: config.instance,
+    [HEADER.incarnation]: config.incarnation,
+  };
+
+  function toCaller(answer: Answer): Response {
+    const headers: Record<string, string> = {
+      ...identity,
+      ...outcomeHeaders(answer.outcome),
+    };
+    if (answer.status !== undefined) {
+      headers[HEADER.status] = String(answer.status);
+    }
+    if (answer.contentType) headers["content-type"] = answer.contentType;
+    if (answer.outcome.kind === "refused" && answer.outcome.retryAfterMs > 0) {
+      const seconds = Math.ceil(answer.outcome.retryAfterMs / 1_000);
+      headers["retry-after"] = String(seconds);
+    }
+    if (config.leaving()) headers["connection"] = "close";
+    return respond(answer.body, { status: statusOf(answer), headers });
+  }
+
+  function toNode(reply: GateReply): Response {
+    const { answer, unspent, death } = reply;
+    const headers: Record<string, string> = {
+      ...identity,
+      ...outcomeHeaders(answer.outcome),
+      [HEADER.load]: formatLoad(gate.load()),
+      [HEADER.unspent]: String(unspent),
+    };
+    if (answer.status !== undefined) {
+      headers[HEADER.status] = String(answer.status);
+    }
+    if (answer.contentType) headers["content-type"] = answer.contentType;
+    if (death !== undefined) headers[HEADER.death] = formatDeath(death);
+    return respond(answer.body, { status: 200, headers });
+  }
+
+  async function run(whole: WholeRequest): Promise<Answer> {
+    const { ticket } = whole.request;
+    if (ticket !== undefined) {
+      return await config.ticketed.handle(whole, ticket);
+    }
+    return await config.ingress.handle(whole);
+  }
+
+  async function call(context: ApiContext): Promise<Response> {
+    const startedAt = clock.now();
+    const catalog = config.catalog();
+    if (catalog === undefined) {
+      return toCaller(bareAnswer(refused("not_ready")));
+    }
+    const { incoming } = context.env;
+    const target = {
+      service: context.req.param("service") ?? "",
+      kind: context.req.param("kind") ?? "",
+    };
+    const signal = goneSignal(context);
+    const request = resolveRequest(incoming.headers, target, { catalog });
+    if (request.isErr()) {
+      const missing = request.error.status === 404;
+      if (missing && config.onUnknownService(target.service)) {
+        return toCaller(bareAnswer(refused("not_ready", NOT_READY_RETRY_MS)));
+      }
+      return refuseRequest(request.error);
+    }
+    // A resend with a ticket may have run here, so its refusal is not decided
+    // at this point.
+    if (config.leaving() && request.value.ticket === undefined) {
+      return toCaller(bareAnswer(refused("leaving")));
+    }
+    const body = await readBody(incoming, request.value.kind.bodyMaxBytes);
+    if (body.isErr()) {
+      const limit = request.value.kind.bodyMaxBytes;
+      const message = `body: expected at most ${limit} bytes, whole`;
+      return refuseRequest({ status: 413, message });
+    }
+    const answer = await run({
+      request: request.value,
+      body: body.value,
+      signal,
+    });
+    config.onFinished({
+      ...target,
+      outcome: answer.outcome,
+      elapsedMs: clock.now() - startedAt,
+    });
+    return toCaller(answer);
+  }
+
+  function mint(context: ApiContext): Response {
+    const catalog = config.catalog();
+    if (config.leaving()) return toCaller(bareAnswer(refused("leaving")));
+    if (catalog === undefined) {
+      return toCaller(bareAnswer(refused("not_ready")));
+    }
+    const bearer = resolveBearer(context.env.incoming.headers, catalog);
+    if (bearer.isErr()) return refuseRequest(bearer.error);
+    const asked = readWholeNumber(context.req.query("count")) ?? 1;
+    const count = Math.min(TICKETS_PER_REQUEST_MAX, Math.max(1, asked));
+    const tickets = config.ticketed.mint(bearer.value, count);
+    if (tickets.length === 0) {
+      return toCaller(bareAnswer(refused("ticket_exhausted")));
+    }
+    const headers = { ...identity, "content-type": "application/json" };
+    return respond(formatTickets(tickets), { status: 200, headers });
+  }
+
+  async function runHere(context: ApiContext): Promise<Response> {
+    const { incoming } = context.env;
+    const header = (name: string) => {
+      const value = incoming.headers[name];
+      return Array.isArray(value) ? value[0] : value;
+    };
+    config.onVersion(header(HEADER.bundle) ?? "");
+    const signal = goneSignal(context);
+    const body = await readBody(incoming, RELAYED_BODY_MAX_BYTES);
+    const id = header(HEADER.call);
+    const level = readWholeNumber(header(HEADER.level));
+    const remainingMs = readWholeNumber(header(HEADER.deadline));
+    const here = context.req.param("service") === config.service;
+    if (body.isErr() || !id || level === undefined || !here) {
+      const answer = bareAnswer(refused(here ? "invalid" : "no_upstream"));
+      return toNode({ answer, unspent: 0 });
+    }
+    const reply = await gate.submit({
+      id,
+      kind: context.req.param("kind") ?? "",
+      level,
+      account: header(HEADER.account) ?? "",
+      caller: header(HEADER.caller) ?? "",
+      deadlineAt: clock.now() + (remainingMs ?? 0),
+      allowance: readWholeNumber(header(HEADER.allowance)) ?? 0,
+      alone: header(HEADER.alone) === "1",
+      digest: header(HEADER.digest) ?? "",
+      contentType: incoming.headers["content-type"],
+      body: body.value,
+    }, signal);
+    return toNode(reply);
+  }
+
+  const app = new Hono<{ Bindings: NodeBindings }>();
+  app.post("/v1/call/:service/:kind", call);
+  app.post("/v1/tickets", mint);
+  app.post("/v1/run/:service/:kind", runHere);
+  app.notFound(() =>
+    refuseRequest({ status: 404, message: "path: expected /v1/call/..." })
+  );
+  app.onError(() => toCaller(bareAnswer(unknown("connection_lost"))));
+  return app;
+}
--- /dev/null
+++ b/packages/node/src/ingress/home.ts
@@ -0,0 +1,74 @@
+/** Hands calls on to the home of their ticket. */
+
+import { type Outcome, refused, unknown } from "@coltsfootdeal/policy";
+import { type Answer, bareAnswer } from "../answer.ts";
+import { HEADER, readWholeNumber } from "../headers.ts";
+import type { HttpClient } from "../http_client.ts";
+import { parseOutcome } from "./forwarder.ts";
+import type { WholeRequest } from "./ingress.ts";
+
+/** Resolved configuration. */
+export interface HomeForwarderConfig {
+  readonly client: HttpClient;
+  /** Data address of a known instance. */
+  readonly addressOf: (instance: string) => string | undefined;
+}
+
+/** Hands a call on to the node that minted its ticket. */
+export type HomeForwarder = (
+  home: string,
+  whole: WholeRequest,
+) => Promise<Answer>;
+
+function headersOf({ request }: WholeRequest): Record<string, string> {
+  return {
+    "content-type": request.contentType ?? "application/octet-stream",
+    [HEADER.account]: request.account,
+    [HEADER.caller]: request.caller,
+    [HEADER.deadline]: String(request.deadlineMs),
+    [HEADER.ticket]: request.ticket ?? "",
+    [HEADER.attempt]: request.resend ? "2" : "1",
+    ...(request.token === "" ? {} : { authorization: request.token }),
+  };
+}
+
+/** Only a refusal by the home itself is one; any loss on the way is unknown. */
+function relayed(outcome: Outcome): Outcome {
+  return outcome.kind === "refused"
+    ? refused(outcome.reason, outcome.retryAfterMs)
+    : outcome;
+}
+
+/** Creates a forwarder to homes. */
+export function createHomeForwarder(
+  config: HomeForwarderConfig,
+): HomeForwarder {
+  return async (home, whole) => {
+    const address = config.addressOf(home);
+    // An earlier presentation may have been run by the home.
+    if (address === undefined) return bareAnswer(unknown("ticket_home_gone"));
+    const { request } = whole;
+    const end = await config.client.send({
+      origin: `http://${address}`,
+      path: `/v1/call/${request.service}/${request.kind.name}`,
+      method: "POST",
+      headers: headersOf(whole),
+      body: whole.body,
+      signal: AbortSignal.any([
+        whole.signal,
+        AbortSignal.timeout(request.deadlineMs),
+      ]),
+    });
+    if (end.kind !== "response") {
+      const gone = end.kind === "not_sent";
+      const reason = gone ? "ticket_home_gone" : "connection_lost";
+      return bareAnswer(unknown(reason));
+    }
+    return {
+      outcome: relayed(parseOutcome(end.headers)),
+      status: readWholeNumber(end.headers[HEADER.status]),
+      contentType: end.headers["content-type"],
+      body: end.body,
+    };
+  };
+}
--- /dev/null
+++ b/packages/node/src/ingress/ingress.ts
@@ -0,0 +1,225 @@
+/** The ingress: drives calls through the dispatcher's decisions. */
+
+import type { Buffer } from "node:buffer";
+import { randomBytes } from "node:crypto";
+import type { Clock } from "@coltsfootdeal/kernel";
+import {
+  type AttemptEnd,
+  type Call,
+  createDispatcher,
+  createRetryBudget,
+  type Death,
+  type Ledger,
+  type Moment,
+  refused,
+  type Router,
+  type Step,
+  type Suspects,
+  unknown,
+  type Upstream,
+  type UpstreamReport,
+} from "@coltsfootdeal/policy";
+import { type Answer, bareAnswer } from "../answer.ts";
+import type { Chains } from "../chains.ts";
+import { LATE_ANSWER_MS } from "../constants.ts";
+import { type CallerRequest, digestOf } from "./request.ts";
+
+/** A call on its way to a gate. */
+export interface Forward {
+  readonly id: string;
+  readonly upstream: Upstream;
+  readonly request: CallerRequest;
+  readonly level: number;
+  readonly deadlineAt: number;
+  readonly share: number;
+  readonly alone: boolean;
+  readonly digest: string;
+  readonly body: Buffer;
+  readonly signal: AbortSignal;
+}
+
+/** What came of a forward. */
+export interface ForwardEnd {
+  readonly end: AttemptEnd;
+  readonly answer: Answer | undefined;
+  readonly report: UpstreamReport | undefined;
+  readonly death: Death | undefined;
+}
+
+/** Resolved configuration of an ingress. */
+export interface IngressConfig {
+  readonly clock: Clock;
+  readonly router: Router;
+  readonly ledger: Ledger;
+  readonly chains: Chains;
+  readonly suspects: Suspects;
+  readonly forward: (forward: Forward) => Promise<ForwardEnd>;
+  readonly onDeath: (death: Death) => void;
+}
+
+/** A whole request of a caller. */
+export interface WholeRequest {
+  readonly request: CallerRequest;
+  readonly body: Buffer;
+  /** Aborted when the caller has gone. */
+  readonly signal: AbortSignal;
+}
+
+/** Takes calls and answers each with the whole answer to it, or an outcome. */
+export interface Ingress {
+  readonly handle: (whole: WholeRequest) => Promise<Answer>;
+  readonly inFlight: () => number;
+}
+
+interface Origin {
+  readonly level: number;
+  readonly deadlineAt: number;
+  readonly allowance: number;
+  readonly parent: string | undefined;
+}
+
+/** Creates an ingress. */
+export function createIngress(config: IngressConfig): Ingress {
+  const { clock, ledger, chains } = config;
+  const dispatcher = createDispatcher({
+    router: config.router,
+    ledger,
+    callerBudget: createRetryBudget(),
+    serviceBudget: createRetryBudget(),
+    suspects: config.suspects,
+  });
+  let calls = 0;
+
+  function moment(): Moment {
+    return { now: clock.now(), random: Math.random };
+  }
+
+  /** Level, deadline and allowance, as the run that makes the call has them. */
+  function originOf(request: CallerRequest): Origin | undefined {
+    const deadlineAt = clock.now() + request.deadlineMs;
+    const { level, parent } = request;
+    if (parent === undefined) {
+      const allowance = request.kind.retryAllowance;
+      return { level, deadlineAt, allowance, parent };
+    }
+    const run = chains.find(parent);
+    if (run === undefined) return undefined;
+    return {
+      level: Math.max(level, run.level),
+      deadlineAt: Math.min(deadlineAt, run.deadlineAt),
+      allowance: ledger.split(parent),
+      parent,
+    };
+  }
+
+  function wait(delayMs: number, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = clock.after(delayMs, resolve);
+      signal.addEventListener("abort", () => {
+        timer.close();
+        resolve();
+      }, { once: true });
+    });
+  }
+
+  async function drive(
+    call: Call,
+    whole: WholeRequest,
+    options: { readonly signal: AbortSignal },
+  ): Promise<{ readonly answer: Answer; readonly unspent: number }> {
+    const { signal } = options;
+    let last: Answer | undefined;
+    let step: Step = dispatcher.begin(call, moment());
+    for (;;) {
+      switch (step.kind) {
+        case "finish": {
+          const { outcome, unspent } = step;
+          const same = outcome.kind === last?.outcome.kind;
+          const answer = last && same
+            ? { ...last, outcome }
+            : bareAnswer(outcome);
+          return { answer, unspent };
+        }
+        case "wait":
+          await wait(step.delayMs, signal);
+          if (signal.aborted) return abandon(call);
+          step = dispatcher.resume(call.id, moment());
+          break;
+        case "attempt": {
+          const end = await config.forward({
+            id: step.attemptId,
+            upstream: step.upstream,
+            request: whole.request,
+            level: call.level,
+            deadlineAt: call.deadlineAt,
+            share: step.share,
+            alone: step.alone,
+            digest: call.digest,
+            body: whole.body,
+            signal,
+          });
+          if (end.death) config.onDeath(end.death);
+          last = end.answer;
+          if (signal.aborted) return abandon(call);
+          const report = end.report === undefined ? {} : { report: end.report };
+          const settled = { ...moment(), ...report };
+          step = dispatcher.settle(call.id, end.end, settled);
+        }
+      }
+    }
+  }
+
+  function abandon(call: Call) {
+    const late = clock.now() >= call.deadlineAt;
+    dispatcher.abandon(call.id, clock.now());
+    const answer = bareAnswer(unknown(late ? "deadline" : "cancelled"));
+    return { answer, unspent: 0 };
+  }
+
+  function createCall(whole: WholeRequest, origin: Origin): Call {
+    const { request } = whole;
+    const target = { service: request.service, kind: request.kind.name };
+    return {
+      id: randomBytes(12).toString("hex"),
+      service: request.service,
+      level: origin.level,
+      idempotent: request.kind.idempotent,
+      caller: `${request.account}/${request.caller}`,
+      deadlineAt: origin.deadlineAt,
+      digest: digestOf(target, whole.body),
+      resend: request.resend,
+      allowance: origin.allowance,
+    };
+  }
+
+  async function handle(whole: WholeRequest): Promise<Answer> {
+    const origin = originOf(whole.request);
+    if (origin === undefined) return bareAnswer(refused("cancelled"));
+    const abort = new AbortController();
+    const cancel = () => abort.abort();
+    // A run with a ticket is waited for beyond its deadline, so that a resend
+    // gets its answer.
+    const grace = whole.request.ticket === undefined ? 0 : LATE_ANSWER_MS;
+    const timeMs = origin.deadlineAt - clock.now() + grace;
+    const timer = clock.after(Math.max(0, timeMs), cancel);
+    whole.signal.addEventListener("abort", cancel, { once: true });
+    const detach = origin.parent === undefined
+      ? () => {}
+      : chains.attach(origin.parent, cancel);
+    calls++;
+    try {
+      const call = createCall(whole, origin);
+      const { signal } = abort;
+      const { answer, unspent } = await drive(call, whole, { signal });
+      if (origin.parent !== undefined) ledger.credit(origin.parent, unspent);
+      return answer;
+    } finally {
+      calls--;
+      detach();
+      timer.close();
+      whole.signal.removeEventListener("abort", cancel);
+    }
+  }
+
+  return { handle, inFlight: () => calls };
+}
--- /dev/null
+++ b/packages/node/src/node.ts
@@ -0,0 +1,361 @@
+/** A node: a kernel whose services are ingress, gate and agent. */
+
+import { randomBytes } from "node:crypto";
+import { type Catalog, FLEET_SCOPE } from "@coltsfootdeal/bundle";
+import {
+  type Clock,
+  createKernel,
+  defineService,
+  type Kernel,
+} from "@coltsfootdeal/kernel";
+import {
+  createLedger,
+  createPauseDetector,
+  createRouter,
+  createSuspects,
+  type Death,
+} from "@coltsfootdeal/policy";
+import { getRequestListener } from "@hono/node-server";
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { err, ok, type Result } from "neverthrow";
+import {
+  type AdminSource,
+  createAdminApi,
+  type Readiness,
+} from "./admin/admin_api.ts";
+import { type Audit, createAudit } from "./admin/audit.ts";
+import { createMetrics, type Metrics } from "./admin/metrics.ts";
+import { type Agent, createAgent } from "./agent/agent.ts";
+import { createBundleStore } from "./agent/bundle_store.ts";
+import { createControlRouter } from "./agent/control_api.ts";
+import { createControlClient } from "./agent/control_client.ts";
+import { createPlatformClient } from "./agent/platform_client.ts";
+import { createChains } from "./chains.ts";
+import {
+  DRAIN_QUIET_MS,
+  HEALTH_PERIOD_MS,
+  HOUSEKEEPING_MS,
+} from "./constants.ts";
+import { createBackendServer } from "./gate/backend_server.ts";
+import { createGate, type Gate } from "./gate/gate.ts";
+import { createHttpClient, type HttpClient } from "./http_client.ts";
+import { createDataApi } from "./ingress/data_api.ts";
+import { createForwarder } from "./ingress/forwarder.ts";
+import { createHomeForwarder } from "./ingress/home.ts";
+import { createIngress, type Ingress } from "./ingress/ingress.ts";
+import { createTicketed } from "./ingress/ticketed.ts";
+import { listen, type Listener, type ListenError } from "./listener.ts";
+import type { Log } from "./log.ts";
+import { formatAddress, type Settings } from "./settings.ts";
+
+/** Names under which a node's services find each other. */
+export const SERVICE = {
+  agent: defineService<Agent>("agent"),
+  audit: defineService<Audit>("audit"),
+  gate: defineService<Gate>("gate"),
+  ingress: defineService<Ingress & { readonly close: () => void }>("ingress"),
+  metrics: defineService<Metrics>("metrics"),
+  httpClient: defineService<HttpClient>("http_client"),
+} as const;
+
+/** What a node is given. */
+export interface NodeOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  /**
+   * Time for which a leaving node goes on refusing new work.
+   * @default DRAIN_QUIET_MS
+   */
+  readonly drainQuietMs?: number;
+}
+
+/** A running node. */
+export interface Node {
+  readonly kernel: Kernel;
+  readonly incarnation: string;
+  readonly dataAddress: string;
+  readonly adminAddress: string;
+  readonly controlAddress: string;
+  readonly readiness: () => Readiness;
+  readonly status: () => NodeStatus;
+  /** Says that it is leaving, finishes what is in flight, and closes. */
+  readonly drain: () => Promise<void>;
+  /** Ends at once, as when the process is killed. */
+  readonly kill: () => Promise<void>;
+}
+
+/** The page `/status`. */
+export interface NodeStatus {
+  readonly instance: string;
+  readonly service: string;
+  readonly dataCentre: string;
+  readonly incarnation: string;
+  readonly readiness: Readiness;
+  readonly leaving: boolean;
+  readonly bundles: readonly {
+    readonly scope: string;
+    readonly version: number;
+    readonly digest: string;
+  }[];
+  readonly gate: object;
+  readonly ingress: { readonly inFlight: number };
+  readonly tickets: number;
+  readonly agent: object;
+  readonly upstreams: readonly object[];
+}
+
+function createIncarnation(): string {
+  // The start time orders incarnations in gossip; the rest makes them unique.
+  return `${Date.now()}-${randomBytes(6).toString("hex")}`;
+}
+
+/** Starts a node. */
+export async function startNode(
+  settings: Settings,
+  options: NodeOptions,
+): Promise<Result<Node, ListenError>> {
+  const { clock, log } = options;
+  const { instance } = settings;
+  const incarnation = createIncarnation();
+  const kernel = createKernel();
+  const audit = createAudit(log, clock);
+  const client = createHttpClient();
+  const backendClient = createHttpClient();
+  const ledger = createLedger();
+  const chains = createChains();
+  const suspects = createSuspects();
+  const router = createRouter({
+    owner: instance,
+    dataCentres: settings.dataCentres,
+  });
+  const backend = createBackendServer(settings.backend, backendClient);
+  let leaving = false;
+  let readyRecorded = false;
+
+  const gate = createGate({
+    instance,
+    incarnation,
+    service: settings.service,
+    clock,
+    backend,
+    ledger,
+    chains,
+    onDeath: (death) => recordDeath(death),
+    onHarmless: (digest) => suspects.clear(digest, clock.now()),
+  });
+  const store = createBundleStore({
+    trust: settings.trust,
+    audit,
+    onAdopted: (catalog: Catalog) => {
+      gate.configure(catalog);
+      if (readyRecorded || !readiness().ready) return;
+      readyRecorded = true;
+      audit.record("ready");
+    },
+  });
+  const agent = createAgent({
+    settings,
+    incarnation,
+    clock,
+    audit,
+    store,
+    router,
+    suspects,
+    platform: createPlatformClient(settings.platform, client),
+    control: createControlClient(),
+  });
+  const forward = createForwarder({
+    clock,
+    client,
+    instance,
+    gate,
+    bundleVersion: agent.versionText,
+    onSeen: (seen) =>
+      agent.seen({
+        id: seen.instance,
+        incarnation: seen.incarnation,
+        leaving: seen.leaving,
+      }),
+  });
+  const ingress = createIngress({
+    clock,
+    router,
+    ledger,
+    chains,
+    suspects,
+    forward,
+    onDeath: (death) => suspects.record(death),
+  });
+  const ticketed = createTicketed({
+    instance,
+    incarnation,
+    clock,
+    ingress,
+    leaving: () => leaving,
+    forwardHome: createHomeForwarder({
+      client,
+      addressOf: (id) => agent.membership.find(id)?.address,
+    }),
+  });
+  const metrics = createMetrics({
+    load: gate.load,
+    bundleVersion: () => store.inForce(FLEET_SCOPE)?.version ?? 0,
+    tickets: ticketed.size,
+    instances: () => agent.status().instances,
+    reader: () => agent.status().reader,
+  });
+
+  function recordDeath(death: Death): void {
+    const calls = death.digests.length;
+    audit.record("backend_died", { death: death.id, calls });
+    metrics.countDeath();
+    agent.announceDeath(death);
+  }
+
+  function readiness(): Readiness {
+    if (leaving) return { ready: false, reason: "leaving" };
+    const catalog = store.catalog();
+    if (catalog === undefined) {
+      return { ready: false, reason: "no bundle in force" };
+    }
+    if (catalog.service(settings.service) === undefined) {
+      const reason = `service ${settings.service} is not in the bundle`;
+      return { ready: false, reason };
+    }
+    return { ready: true };
+  }
+
+  function status(): NodeStatus {
+    return {
+      instance,
+      service: settings.service,
+      dataCentre: settings.dataCentre,
+      incarnation,
+      readiness: readiness(),
+      leaving,
+      bundles: store.versions(),
+      gate: gate.load(),
+      ingress: { inFlight: ingress.inFlight() },
+      tickets: ticketed.size(),
+      agent: agent.status(),
+      upstreams: router.snapshot(clock.now()).map((entry) => ({
+        ...entry.upstream,
+        outstanding: entry.outstanding,
+        leaving: entry.leaving,
+        ejected: entry.ejected,
+      })),
+    };
+  }
+
+  const dataApi = createDataApi({
+    instance,
+    incarnation,
+    service: settings.service,
+    clock,
+    catalog: store.catalog,
+    gate,
+    ingress,
+    ticketed,
+    leaving: () => leaving,
+    onVersion: agent.sawVersion,
+    onUnknownService: agent.want,
+    onFinished: metrics.observeCall,
+  });
+  const adminSource: AdminSource = { audit, metrics, readiness, status };
+  const adminApi = createAdminApi(adminSource);
+  const controlRouter = createControlRouter(agent.handler);
+
+  const listeners: Listener[] = [];
+  const handlers = [
+    [getRequestListener(dataApi.fetch), settings.data],
+    [getRequestListener(adminApi.fetch), settings.admin],
+    [createHTTPHandler({ router: controlRouter }), settings.control],
+  ] as const;
+  for (const [handler, address] of handlers) {
+    const listener = await listen(handler, address);
+    if (listener.isErr()) {
+      for (const { destroy } of listeners) destroy();
+      return err(listener.error);
+    }
+    listeners.push(listener.value);
+  }
+  const [data, admin, control] = listeners as [Listener, Listener, Listener];
+
+  const pauses = createPauseDetector(HOUSEKEEPING_MS);
+  const housekeeping = clock.every(HOUSEKEEPING_MS, () => {
+    const pausedMs = pauses.tick(clock.now());
+    if (pausedMs > 0) {
+      router.forgetLoads();
+      audit.record("paused", { pausedMs: Math.round(pausedMs) });
+    }
+    ticketed.expire();
+  });
+  const health = clock.every(HEALTH_PERIOD_MS, checkBackend);
+
+  async function checkBackend(): Promise<void> {
+    const contract = store.catalog()?.service(settings.service);
+    if (leaving || contract === undefined) return;
+    if (!await backend.isLeaving(contract) || leaving) return;
+    audit.record("backend_leaving");
+    await beginLeaving();
+  }
+
+  async function beginLeaving(): Promise<void> {
+    leaving = true;
+    gate.leave();
+    await agent.announceLeaving();
+  }
+
+  async function idle(): Promise<void> {
+    const quietUntil = clock.now() + (options.drainQuietMs ?? DRAIN_QUIET_MS);
+    while (
+      clock.now() < quietUntil || !gate.idle() || ingress.inFlight() > 0
+    ) {
+      await new Promise<void>((resolve) => clock.after(20, resolve));
+    }
+  }
+
+  function stopTimers(): void {
+    housekeeping.close();
+    health.close();
+  }
+
+  kernel.provide(SERVICE.audit, audit);
+  kernel.provide(SERVICE.httpClient, client);
+  kernel.provide(SERVICE.metrics, metrics);
+  kernel.provide(SERVICE.agent, agent);
+  kernel.provide(SERVICE.gate, gate);
+  kernel.provide(SERVICE.ingress, { ...ingress, close: stopTimers });
+
+  agent.start();
+  audit.record("started", {
+    service: settings.service,
+    dataCentre: settings.dataCentre,
+    data: formatAddress(data.address),
+  });
+
+  return ok({
+    kernel,
+    incarnation,
+    dataAddress: formatAddress(data.address),
+    adminAddress: formatAddress(admin.address),
+    controlAddress: formatAddress(control.address),
+    readiness,
+    status,
+    drain: async () => {
+      audit.record("draining");
+      await beginLeaving();
+      await idle();
+      await data.close();
+      audit.record("drained");
+      await kernel.close();
+      await backendClient.close();
+      await Promise.all([admin.close(), control.close()]);
+    },
+    kill: async () => {
+      for (const listener of listeners) listener.destroy();
+      await kernel.close();
+      await backendClient.close();
+    },
+  });
+}
--- /dev/null
+++ b/packages/node/src/settings.ts
@@ -0,0 +1,144 @@
+/** The node's settings, read from INI text. */
+
+import {
+  checkSection,
+  type Fault,
+  listOf,
+  type PublicKey,
+  readPublicKey,
+  readSections,
+  textOf,
+  type Trust,
+  wholeNumber,
+} from "@coltsfootdeal/bundle";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+
+/** An IP number and a port. */
+export interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Resolved settings of a node. */
+export interface Settings {
+  readonly instance: string;
+  readonly service: string;
+  readonly dataCentre: string;
+  /** All data centres, the own one first, then by distance. */
+  readonly dataCentres: readonly string[];
+  /** Listener for callers and other nodes' calls. */
+  readonly data: Address;
+  /** Listener for operators; read-only. */
+  readonly admin: Address;
+  /** Listener for other nodes' control messages. */
+  readonly control: Address;
+  readonly backend: Address;
+  readonly platform: Address;
+  readonly trust: Trust;
+  /** Control addresses of nodes to learn from first. */
+  readonly seeds: readonly Address[];
+}
+
+const NAME = /^[a-z0-9][a-z0-9-]{0,63}$/;
+const IP = String.raw`(?:\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\])`;
+const ADDRESS = new RegExp(`^${IP}:\\d{1,5}$`);
+const KEY = /^[A-Za-z0-9+/]{43}=$/;
+
+const name = () => textOf(NAME, "a name of small letters, digits, hyphens");
+const address = () => textOf(ADDRESS, "an IP number and a port");
+
+const SCHEMAS = {
+  node: z.strictObject({
+    instance: name(),
+    service: name(),
+    data_centre: name(),
+    other_data_centres: listOf(NAME, "names, the nearest first").default([]),
+  }),
+  listen: z.strictObject({
+    data: address(),
+    admin: address(),
+    control: address(),
+  }),
+  backend: z.strictObject({ address: address() }),
+  platform: z.strictObject({ address: address() }),
+  trust: z.strictObject({
+    keys: listOf(KEY, "public keys in base64").refine(
+      (keys) => keys.length > 0,
+      "at least one public key in base64",
+    ),
+    approvals_required: wholeNumber(1, 16).default(1),
+  }),
+  peers: z.strictObject({
+    seeds: listOf(ADDRESS, "IP numbers with ports").default([]),
+  }),
+} as const;
+
+type SectionName = keyof typeof SCHEMAS;
+
+/** Reads an address from text that matches the address pattern. */
+export function parseAddress(text: string): Address {
+  const colon = text.lastIndexOf(":");
+  const host = text.slice(0, colon).replace(/^\[|\]$/g, "");
+  return { host, port: Number(text.slice(colon + 1)) };
+}
+
+/** Writes an address as IP number and port. */
+export function formatAddress({ host, port }: Address): string {
+  return host.includes(":") ? `[${host}]:${port}` : `${host}:${port}`;
+}
+
+function readKeys(texts: readonly string[]): readonly PublicKey[] {
+  return texts.flatMap((text) => readPublicKey(text).unwrapOr([] as never));
+}
+
+/** Checks settings; all faults are returned, not only the first. */
+export function resolveSettings(
+  text: string,
+): Result<Settings, readonly Fault[]> {
+  const { sections, faults } = readSections(text);
+  const found: Fault[] = [...faults];
+  for (const section of sections.keys()) {
+    if (section in SCHEMAS) continue;
+    const expected = `one of ${Object.keys(SCHEMAS).join(", ")}`;
+    found.push({ section, key: "(section)", expected });
+  }
+
+  function read<Name extends SectionName>(
+    section: Name,
+  ): z.output<(typeof SCHEMAS)[Name]> | undefined {
+    const given = sections.get(section) ?? {};
+    const checked = checkSection(SCHEMAS[section], given, { name: section });
+    found.push(...checked.faults);
+    return checked.value as z.output<(typeof SCHEMAS)[Name]> | undefined;
+  }
+
+  const node = read("node");
+  const listen = read("listen");
+  const backend = read("backend");
+  const platform = read("platform");
+  const trust = read("trust");
+  const peers = read("peers");
+  if (
+    found.length > 0 || !node || !listen || !backend || !platform || !trust ||
+    !peers
+  ) {
+    return err(found);
+  }
+  return ok({
+    instance: node.instance,
+    service: node.service,
+    dataCentre: node.data_centre,
+    dataCentres: [node.data_centre, ...node.other_data_centres],
+    data: parseAddress(listen.data),
+    admin: parseAddress(listen.admin),
+    control: parseAddress(listen.control),
+    backend: parseAddress(backend.address),
+    platform: parseAddress(platform.address),
+    trust: {
+      keys: readKeys(trust.keys),
+      approvalsRequired: trust.approvals_required,
+    },
+    seeds: peers.seeds.map(parseAddress),
+  });
+}
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -58,6 +58,8 @@
   readonly abandon: (id: string, now: number) => readonly GateAction[];
   /** Applies the passing of time. */
   readonly tick: (now: number) => readonly GateAction[];
+  /** Applies changed slots and floors. */
+  readonly configure: (config: AdmissionConfig) => void;
   /** Stops taking new work. */
   readonly leave: () => void;
   /** Records that the backend server has been replaced by a cold one. */
@@ -83,10 +85,11 @@
 }
 
 /** Creates the gate of an idle backend server. */
-export function createAdmission(config: AdmissionConfig): Admission {
-  const queueWaitMs = config.queueWaitMs ?? QUEUE_WAIT_MS;
+export function createAdmission(initial: AdmissionConfig): Admission {
+  let config = initial;
+  const queueWaitMs = initial.queueWaitMs ?? QUEUE_WAIT_MS;
   const queue = createWorkQueue();
-  const limit = createLimit(config.slots);
+  const limit = createLimit(initial.slots);
   const times = createServiceTime();
   const runs = new Map<string, Run>();
   const kindRuns = new Map<string, number>();
@@ -269,6 +272,10 @@
       }
       return [...late, ...fill(now)];
     },
+    configure: (next) => {
+      config = next;
+      limit.resize(next.slots);
+    },
     leave: () => {
       leaving = true;
     },
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -65,3 +65,31 @@
 
 /** Gap between two ticks that counts as a pause of the process. */
 export const PAUSE_GAP_MS = 500;
+
+/** Peers to which fresh news is pushed in each round. */
+export const SPREAD_FANOUT = 3;
+/** Rounds in which a node pushes a piece of news. */
+export const RUMOUR_SENDS = 3;
+/** Period of rounds of rumours. */
+export const RUMOUR_PERIOD_MS = 200;
+/** Period of comparisons with a random peer. */
+export const COMPARE_PERIOD_MS = 1_000;
+/** Age from which news is compared by hash and no longer by name. */
+export const SETTLED_AFTER_MS = 10_000;
+/** Buckets in which settled news is compared. */
+export const SPREAD_BUCKETS = 256;
+/** News in one message. */
+export const SPREAD_MESSAGE_MAX = 256;
+
+/** Nodes of a data centre that watch the platform. */
+export const READERS = 3;
+/** Further nodes that probe the readers and stand in for them. */
+export const STANDBY_READERS = 3;
+/** Failed probes in a row after which a reader is passed over. */
+export const READER_PROBE_FAILURES = 2;
+/** Time for which an unreachable reader is passed over. */
+export const READER_SUSPECT_MS = 30_000;
+/** Longest wait of a node without peers before it asks the platform itself. */
+export const BOOTSTRAP_SPREAD_MS = 10_000;
+/** Time for which gossip that an instance is leaving is believed. */
+export const LEAVING_FACT_MS = 60_000;
--- a/packages/policy/src/limit.ts
+++ b/packages/policy/src/limit.ts
@@ -18,6 +18,8 @@
   readonly observe: (sample: LimitSample, now: number) => void;
   /** Starts again from the smallest limit, as for a cold backend server. */
   readonly reset: () => void;
+  /** Applies another number of slots. */
+  readonly resize: (slots: number) => void;
 }
 
 /**
@@ -26,8 +28,9 @@
  * Latency alone does not shrink it: a call that waits for a slow service
  * further down is slow at any limit, and fewer slots would only answer fewer.
  */
-export function createLimit(slots: number): Limit {
-  let limit = slots;
+export function createLimit(initialSlots: number): Limit {
+  let slots = initialSlots;
+  let limit = initialSlots;
   let decreasedAt = -Infinity;
 
   function decrease(inFlight: number, now: number): void {
@@ -51,5 +54,10 @@
     reset: () => {
       limit = Math.max(1, slots / 4);
     },
+    resize: (next) => {
+      const unlimited = limit >= slots;
+      slots = next;
+      limit = unlimited ? next : Math.min(limit, next);
+    },
   };
 }
--- /dev/null
+++ b/packages/policy/src/membership.ts
@@ -0,0 +1,125 @@
+/**
+ * Which instances exist and which are leaving. The platform's list is a hint
+ * that lags; what an instance says about itself goes before it, and hearsay
+ * about an older incarnation is ignored.
+ */
+
+import { LEAVING_FACT_MS } from "./constants.ts";
+import type { Upstream } from "./upstream.ts";
+
+/** An instance as the platform lists it. */
+export interface ListedInstance {
+  readonly id: string;
+  readonly service: string;
+  readonly dataCentre: string;
+  /** Data address. */
+  readonly address: string;
+  /** Control address. */
+  readonly control: string;
+  readonly state: "live" | "leaving" | "gone";
+}
+
+/** What an instance says about itself, first hand or by gossip. */
+export interface InstanceFact {
+  readonly id: string;
+  /** Start time in ms and a random suffix; later starts compare greater. */
+  readonly incarnation: string;
+  readonly leaving: boolean;
+}
+
+/** The instances that a node knows. */
+export interface Membership {
+  /** Applies an entry of the platform's list. */
+  readonly list: (instance: ListedInstance, now: number) => boolean;
+  /** Applies a fact; false if nothing changes. */
+  readonly learn: (fact: InstanceFact, now: number) => boolean;
+  /** Live instances of a service. */
+  readonly upstreams: (service: string, now: number) => readonly Upstream[];
+  /** Live instances of a data centre. */
+  readonly members: (dataCentre: string) => readonly ListedInstance[];
+  readonly find: (id: string) => ListedInstance | undefined;
+  readonly all: () => readonly ListedInstance[];
+  readonly services: () => readonly string[];
+}
+
+interface Entry {
+  listed: ListedInstance | undefined;
+  incarnation: string;
+  leavingAt: number | undefined;
+}
+
+function startOf(incarnation: string): number {
+  return Number.parseInt(incarnation, 10) || 0;
+}
+
+/** Creates an empty membership. */
+export function createMembership(): Membership {
+  const entries = new Map<string, Entry>();
+  const byService = new Map<string, Set<string>>();
+
+  function entryOf(id: string): Entry {
+    const known = entries.get(id);
+    if (known) return known;
+    const entry = { listed: undefined, incarnation: "", leavingAt: undefined };
+    entries.set(id, entry);
+    return entry;
+  }
+
+  function isLeaving({ listed, leavingAt }: Entry, now: number): boolean {
+    if (listed?.state === "leaving") return true;
+    return leavingAt !== undefined && now - leavingAt < LEAVING_FACT_MS;
+  }
+
+  return {
+    list: (instance) => {
+      const entry = entryOf(instance.id);
+      const before = entry.listed;
+      if (before && before.service !== instance.service) {
+        byService.get(before.service)?.delete(instance.id);
+      }
+      if (instance.state === "gone") {
+        byService.get(instance.service)?.delete(instance.id);
+        return entries.delete(instance.id);
+      }
+      entry.listed = instance;
+      const ids = byService.get(instance.service) ?? new Set();
+      byService.set(instance.service, ids.add(instance.id));
+      return JSON.stringify(before) !== JSON.stringify(instance);
+    },
+    learn: (fact, now) => {
+      const entry = entries.get(fact.id);
+      if (entry === undefined) return false;
+      const order = startOf(fact.incarnation) - startOf(entry.incarnation);
+      if (order < 0) return false;
+      const same = fact.incarnation === entry.incarnation;
+      const wasLeaving = entry.leavingAt !== undefined;
+      if (same && (wasLeaving || !fact.leaving)) return false;
+      entry.incarnation = fact.incarnation;
+      entry.leavingAt = fact.leaving ? now : undefined;
+      return true;
+    },
+    upstreams: (service, now) => {
+      const list: Upstream[] = [];
+      for (const id of byService.get(service) ?? []) {
+        const entry = entries.get(id);
+        if (!entry?.listed || isLeaving(entry, now)) continue;
+        const { dataCentre, address } = entry.listed;
+        const { incarnation } = entry;
+        list.push({ id, service, dataCentre, address, incarnation });
+      }
+      return list;
+    },
+    members: (dataCentre) => {
+      const list: ListedInstance[] = [];
+      for (const { listed } of entries.values()) {
+        if (listed?.dataCentre === dataCentre && listed.state === "live") {
+          list.push(listed);
+        }
+      }
+      return list;
+    },
+    find: (id) => entries.get(id)?.listed,
+    all: () => [...entries.values()].flatMap(({ listed }) => listed ?? []),
+    services: () => [...byService.keys()],
+  };
+}
--- /dev/null
+++ b/packages/policy/src/readers.ts
@@ -0,0 +1,64 @@
+/** Which nodes of a data centre watch the platform. */
+
+import {
+  READER_PROBE_FAILURES,
+  READER_SUSPECT_MS,
+  READERS,
+  STANDBY_READERS,
+} from "./constants.ts";
+import { resolveRanking } from "./subset.ts";
+
+/** What a node does about the platform. */
+export type ReaderRole<Member> =
+  | { readonly kind: "reader" }
+  /** Probes the nodes that come before it. */
+  | { readonly kind: "standby"; readonly probe: readonly Member[] }
+  | { readonly kind: "none" };
+
+/** Chooses readers by rendezvous hashing among the members that answer. */
+export interface Readers<Member> {
+  readonly role: (
+    members: readonly Member[],
+    now: number,
+  ) => ReaderRole<Member>;
+  /** Records the result of a probe. */
+  readonly probed: (id: string, answered: boolean, now: number) => void;
+}
+
+/** Creates the choice as one instance of a data centre makes it. */
+export function createReaders<Member extends { readonly id: string }>(
+  self: string,
+  options: { readonly dataCentre: string },
+): Readers<Member> {
+  const failures = new Map<string, number>();
+  const suspectUntil = new Map<string, number>();
+
+  return {
+    role: (members, now) => {
+      const alive = members.filter(({ id }) =>
+        (suspectUntil.get(id) ?? -Infinity) <= now
+      );
+      const first = resolveRanking(alive, { owner: options.dataCentre })
+        .slice(0, READERS + STANDBY_READERS);
+      const rank = first.findIndex(({ id }) => id === self);
+      const unknown = !members.some(({ id }) => id === self);
+      if (members.length === 0 || unknown && alive.length === 0) {
+        return { kind: "reader" };
+      }
+      if (rank < 0) return { kind: "none" };
+      if (rank < READERS) return { kind: "reader" };
+      return { kind: "standby", probe: first.slice(0, rank) };
+    },
+    probed: (id, answered, now) => {
+      if (answered) {
+        failures.delete(id);
+        return;
+      }
+      const count = (failures.get(id) ?? 0) + 1;
+      failures.set(id, count);
+      if (count < READER_PROBE_FAILURES) return;
+      failures.delete(id);
+      suspectUntil.set(id, now + READER_SUSPECT_MS);
+    },
+  };
+}
--- a/packages/policy/src/subset.ts
+++ b/packages/policy/src/subset.ts
@@ -2,17 +2,25 @@
 
 import { hashText } from "./random.ts";
 
-/** Keeps the `size` members with the highest hash together with `owner`. */
-export function resolveSubset<Member extends { readonly id: string }>(
+/** Orders members by the hash of each together with `owner`, highest first. */
+export function resolveRanking<Member extends { readonly id: string }>(
   members: readonly Member[],
-  size: number,
   options: { readonly owner: string },
 ): readonly Member[] {
-  if (members.length <= size) return members;
   const scored = members.map((member) => ({
     member,
     score: hashText(`${options.owner}/${member.id}`),
   }));
   scored.sort((a, b) => b.score - a.score);
-  return scored.slice(0, size).map(({ member }) => member);
+  return scored.map(({ member }) => member);
+}
+
+/** Keeps the `size` members with the highest hash together with `owner`. */
+export function resolveSubset<Member extends { readonly id: string }>(
+  members: readonly Member[],
+  size: number,
+  options: { readonly owner: string },
+): readonly Member[] {
+  if (members.length <= size) return members;
+  return resolveRanking(members, options).slice(0, size);
 }
--- a/packages/policy/src/tickets.ts
+++ b/packages/policy/src/tickets.ts
@@ -72,6 +72,8 @@
   ) => void;
   /** Forgets expired tickets and returns their nonces. */
   readonly expire: (now: number) => readonly string[];
+  /** Whether a ticket has been presented. */
+  readonly knows: (nonce: string) => boolean;
   readonly size: () => number;
 }
 
@@ -163,6 +165,7 @@
       for (const nonce of expired) drop(nonce);
       return expired;
     },
+    knows: (nonce) => records.has(nonce),
     size: () => records.size,
   };
 }
--- /dev/null
+++ b/packages/standin/src/mod.ts
@@ -0,0 +1,5 @@
+/** Stand-ins for the platform and for backend servers. */
+
+export * from "./backend.ts";
+export * from "./platform.ts";
+export * from "./ports.ts";
