fix(node): close connections that never carried a request on shutdown

Cause: after a flood, clients hold connections that were opened for calls that were cancelled before they were sent; the server's own list counts them as busy, so the listener never closed and drain never returned. Ruled out: jobs in the gate, calls in the ingress (both 0 while it hung). Change: the listener follows its connections itself and closes those without a request.

--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -42,3 +42,5 @@
 export const LOCAL_PEERS = 8;
 /** Connections to other nodes' control listeners that are kept. */
 export const CONTROL_CLIENTS_MAX = 256;
+/** Period in which a closing listener closes unused connections. */
+export const CLOSE_SWEEP_MS = 100;
--- a/packages/node/src/ingress/data_api.ts
+++ b/packages/node/src/ingress/data_api.ts
@@ -145,6 +145,7 @@
       headers[HEADER.status] = String(answer.status);
     }
     if (answer.contentType) headers["content-type"] = answer.contentType;
+    if (config.leaving()) headers["connection"] = "close";
     if (death !== undefined) headers[HEADER.death] = formatDeath(death);
     return respond(answer.body, { status: 200, headers });
   }
--- a/packages/node/src/listener.ts
+++ b/packages/node/src/listener.ts
@@ -1,9 +1,10 @@
 /** HTTP listeners and their orderly end. */
 
 import { createServer, type RequestListener, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import {
+  CLOSE_SWEEP_MS,
   HEADERS_TIMEOUT_MS,
   REQUEST_TIMEOUT_MS,
   SERVER_KEEP_ALIVE_MS,
@@ -26,15 +27,49 @@
   readonly message: string;
 }
 
-function closeServer(server: Server): Promise<void> {
+/** The connections of a server, and which of them carry a request. */
+interface Connections {
+  /** Closes those that carry none. */
+  readonly closeUnused: () => void;
+}
+
+/**
+ * Follows a server's connections. The server's own list takes a connection
+ * that never carried a request for a busy one, and would wait for it.
+ */
+function followConnections(server: Server): Connections {
+  const requests = new Map<Socket, number>();
+  server.on("connection", (socket) => {
+    requests.set(socket, 0);
+    socket.once("close", () => requests.delete(socket));
+  });
+  server.on("request", ({ socket }, response) => {
+    requests.set(socket, (requests.get(socket) ?? 0) + 1);
+    response.once("close", () => {
+      const count = requests.get(socket);
+      if (count !== undefined) requests.set(socket, count - 1);
+    });
+  });
+  return {
+    closeUnused: () => {
+      for (const [socket, count] of requests) {
+        if (count === 0) socket.destroySoon();
+      }
+    },
+  };
+}
+
+function closeServer(
+  server: Server,
+  connections: Connections,
+): Promise<void> {
   return new Promise((resolve) => {
     // Connections that become idle later are closed as they do.
-    const sweep = setInterval(() => server.closeIdleConnections(), 20);
+    const sweep = setInterval(connections.closeUnused, CLOSE_SWEEP_MS);
     server.close(() => {
       clearInterval(sweep);
       resolve();
     });
-    server.closeIdleConnections();
   });
 }
 
@@ -50,6 +85,7 @@
     connectionsCheckingInterval: 1_000,
     noDelay: true,
   }, handler);
+  const connections = followConnections(server);
   return new Promise((resolve) => {
     server.once("error", (error) => {
       resolve(err({ kind: "listen", address, message: error.message }));
@@ -58,7 +94,7 @@
       const { port } = server.address() as AddressInfo;
       resolve(ok({
         address: { host: address.host, port },
-        close: () => closeServer(server),
+        close: () => closeServer(server, connections),
         destroy: () => {
           server.close();
           server.closeAllConnections();
