--- /dev/null
+++ b/packages/cli/src/commands/bundle/verify.ts
@@ -0,0 +1,80 @@
+/** `coltsfootdeal bundle verify` */
+
+import process from "node:process";
+import {
+  type Envelope,
+  formatEnvelopeError,
+  openEnvelope,
+} from "@coltsfootdeal/bundle";
+import type { NodeStatus } from "@coltsfootdeal/node";
+import { Args, Flags } from "@oclif/core";
+import { readPage } from "../../admin_client.ts";
+import { BaseCommand } from "../../base_command.ts";
+import { EXIT_NEGATIVE } from "../../exit_codes.ts";
+import { readText, readTrust } from "../../files.ts";
+
+/** Whether a node has the envelope in force. */
+interface NodeReport {
+  readonly node: string;
+  readonly inForce: boolean;
+  readonly version: number;
+}
+
+/** Verifies an envelope, and that nodes have it in force. */
+export class BundleVerifyCommand extends BaseCommand {
+  static override summary =
+    "Verify an envelope's signatures, and whether nodes have it in force.";
+  static override args = {
+    envelope: Args.string({ required: true, description: "Envelope file." }),
+  };
+  static override flags = {
+    trust: Flags.string({
+      required: true,
+      multiple: true,
+      summary: "Public key file or text.",
+    }),
+    "approvals-required": Flags.integer({ default: 1, min: 1, max: 16 }),
+    node: Flags.string({
+      multiple: true,
+      default: [],
+      summary: "Admin address of a node to ask; may be given several times.",
+    }),
+  };
+
+  private async ask(node: string, envelope: Envelope): Promise<NodeReport> {
+    const page = await readPage<NodeStatus>(node, "/status");
+    const status = this.take(page, { what: "node" });
+    const { scope } = envelope.bundle;
+    const found = status.bundles.find((bundle) => bundle.scope === scope);
+    const inForce = found?.digest === envelope.digest;
+    return { node, inForce, version: found?.version ?? 0 };
+  }
+
+  /** Runs the command. */
+  async run() {
+    const { args, flags } = await this.parse(BundleVerifyCommand);
+    const path = args.envelope;
+    const json = this.take(await readText(path), { what: path });
+    const keys = this.take(await readTrust(flags.trust), { what: "trust" });
+    const approvalsRequired = flags["approvals-required"];
+    const opened = openEnvelope(json, { keys, approvalsRequired });
+    if (opened.isErr()) {
+      const error = formatEnvelopeError(opened.error);
+      this.log(`not valid: ${error}`);
+      process.exitCode = EXIT_NEGATIVE;
+      return { valid: false, error };
+    }
+    const { bundle, digest, signers } = opened.value;
+    const { scope, version } = bundle;
+    this.log(`valid: ${scope} version ${version}, signed by ${signers}`);
+    const nodes: NodeReport[] = [];
+    for (const node of flags.node) {
+      const report = await this.ask(node, opened.value);
+      nodes.push(report);
+      const state = report.inForce ? "in force" : "not in force";
+      this.log(`${node}: ${state}, version ${report.version}`);
+    }
+    if (nodes.some(({ inForce }) => !inForce)) process.exitCode = EXIT_NEGATIVE;
+    return { valid: true, scope, version, digest, signers, nodes };
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/status.ts
@@ -0,0 +1,42 @@
+/** `coltsfootdeal status` */
+
+import type { NodeStatus } from "@coltsfootdeal/node";
+import { Flags } from "@oclif/core";
+import { readPage } from "../admin_client.ts";
+import { BaseCommand } from "../base_command.ts";
+
+function formatStatus(status: NodeStatus): string {
+  const { instance, service, dataCentre, readiness } = status;
+  const ready = readiness.ready ? "ready" : `not ready: ${readiness.reason}`;
+  const bundles = status.bundles.map(({ scope, version }) =>
+    `${scope}=${version}`
+  );
+  const gate = JSON.stringify(status.gate);
+  return `${instance} (${service}, ${dataCentre}): ${ready}; ` +
+    `bundles ${bundles.join(" ") || "none"}; gate ${gate}`;
+}
+
+/** Shows nodes' status. */
+export class StatusCommand extends BaseCommand {
+  static override summary = "Show the status of nodes.";
+  static override flags = {
+    node: Flags.string({
+      required: true,
+      multiple: true,
+      summary: "Admin address; may be given several times.",
+    }),
+  };
+
+  /** Runs the command. */
+  async run() {
+    const { flags } = await this.parse(StatusCommand);
+    const nodes: NodeStatus[] = [];
+    for (const node of flags.node) {
+      const page = await readPage<NodeStatus>(node, "/status");
+      const status = this.take(page, { what: "node" });
+      nodes.push(status);
+      this.log(formatStatus(status));
+    }
+    return { nodes };
+  }
+}
--- /dev/null
+++ b/packages/policy/src/__tests__/admission_test.ts
@@ -0,0 +1,214 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { type Admission, createAdmission } from "../admission.ts";
+import { PROTECTED_LEVEL } from "../constants.ts";
+import type { GateAction, Work } from "../work.ts";
+
+const SLOTS = 3;
+
+function createWork(id: string, overrides: Partial<Work> = {}): Work {
+  return {
+    id,
+    kind: "browse",
+    level: 10,
+    caller: "account/caller",
+    deadlineAt: 1_000_000,
+    cancellable: false,
+    alone: false,
+    ...overrides,
+  };
+}
+
+/** Follows what a gate has decided about each piece of work. */
+function createObserver() {
+  const running = new Map<string, Work>();
+  const queued = new Map<string, Work>();
+  const cancelling = new Set<string>();
+  const refused = new Map<string, GateAction>();
+  return {
+    running,
+    queued,
+    cancelling,
+    refused,
+    apply: (actions: readonly GateAction[]) => {
+      for (const action of actions) {
+        const { work } = action;
+        switch (action.kind) {
+          case "run":
+            expect(running.has(work.id)).toBe(false);
+            expect(refused.has(work.id)).toBe(false);
+            queued.delete(work.id);
+            running.set(work.id, work);
+            break;
+          case "refuse":
+            expect(running.has(work.id)).toBe(false);
+            queued.delete(work.id);
+            refused.set(work.id, action);
+            break;
+          case "cancel":
+            expect(running.has(work.id)).toBe(true);
+            cancelling.add(work.id);
+        }
+      }
+    },
+  };
+}
+
+const EVENT = fc.record({
+  kind: fc.constantFrom("offer", "offer", "finish", "tick", "abandon"),
+  level: fc.constantFrom(10, 50, PROTECTED_LEVEL, PROTECTED_LEVEL + 5),
+  caller: fc.nat(3),
+  deadlineMs: fc.integer({ min: 1, max: 400 }),
+  cancellable: fc.boolean(),
+  alone: fc.constantFrom(false, false, false, true),
+  shed: fc.constantFrom(false, false, false, true),
+  elapsed: fc.nat(60),
+  pick: fc.nat(100),
+});
+
+type Event = typeof EVENT extends fc.Arbitrary<infer Value> ? Value : never;
+
+function runSchedule(
+  gate: Admission,
+  events: readonly Event[],
+  check: (context: {
+    readonly observer: ReturnType<typeof createObserver>;
+    readonly actions: readonly GateAction[];
+    readonly now: number;
+  }) => void,
+): void {
+  const observer = createObserver();
+  let now = 0;
+  for (const [index, event] of events.entries()) {
+    now += event.elapsed;
+    let actions: readonly GateAction[] = [];
+    const ids = [...observer.running.keys()];
+    const id = ids[event.pick % Math.max(1, ids.length)];
+    if (event.kind === "offer") {
+      const work = createWork(`work-${index}`, {
+        kind: `kind-${event.level}`,
+        level: event.level,
+        caller: `account/${event.caller}`,
+        deadlineAt: now + event.deadlineMs,
+        cancellable: event.cancellable,
+        alone: event.alone,
+      });
+      observer.queued.set(work.id, work);
+      actions = gate.offer(work, now);
+    } else if (event.kind === "finish" && id !== undefined) {
+      observer.running.delete(id);
+      observer.cancelling.delete(id);
+      actions = gate.finish(id, { shed: event.shed }, { now });
+    } else if (event.kind === "abandon" && observer.queued.size > 0) {
+      const [queuedId = ""] = observer.queued.keys();
+      observer.queued.delete(queuedId);
+      actions = gate.abandon(queuedId, now);
+    } else {
+      actions = gate.tick(now);
+    }
+    observer.apply(actions);
+    check({ observer, actions, now });
+  }
+}
+
+test("no more runs than slots, and a lone call has the slots to itself", () => {
+  fc.assert(fc.property(fc.array(EVENT, { maxLength: 120 }), (events) => {
+    const gate = createAdmission({ slots: SLOTS, floors: new Map() });
+    runSchedule(gate, events, ({ observer }) => {
+      const { running, queued } = observer;
+      expect(running.size).toBeLessThanOrEqual(SLOTS);
+      const alone = [...running.values()].some((work) => work.alone);
+      if (alone) expect(running.size).toBe(1);
+      expect(gate.load(0).inFlight).toBe(running.size);
+      expect(gate.load(0).queued).toBe(queued.size);
+    });
+  }));
+});
+
+test("protected work is refused only when nothing lesser can give way", () => {
+  fc.assert(fc.property(fc.array(EVENT, { maxLength: 120 }), (events) => {
+    const gate = createAdmission({
+      slots: SLOTS,
+      floors: new Map([["kind-10", 0.34]]),
+    });
+    runSchedule(gate, events, ({ observer, actions, now }) => {
+      for (const action of actions) {
+        if (action.kind !== "refuse") continue;
+        if (action.work.level < PROTECTED_LEVEL) continue;
+        // At its deadline nothing that gives way could help any more.
+        if (action.work.deadlineAt <= now) continue;
+        const lesser = [...observer.running.values()].filter((work) =>
+          work.level < PROTECTED_LEVEL && work.cancellable &&
+          !observer.cancelling.has(work.id)
+        );
+        expect(lesser).toEqual([]);
+        const evictable = [...observer.queued.values()].filter((work) =>
+          work.level < PROTECTED_LEVEL
+        );
+        // Queued lesser work stands behind protected work in any case.
+        if (action.reason === "evicted") expect(evictable).toEqual([]);
+      }
+    });
+  }));
+});
+
+test("work past its deadline is never started", () => {
+  fc.assert(fc.property(fc.array(EVENT, { maxLength: 120 }), (events) => {
+    const gate = createAdmission({ slots: SLOTS, floors: new Map() });
+    runSchedule(gate, events, ({ actions, now }) => {
+      for (const action of actions) {
+        if (action.kind !== "run") continue;
+        expect(action.work.deadlineAt).toBeGreaterThan(now);
+      }
+    });
+  }));
+});
+
+test("a paused gate that wakes up runs nothing old", () => {
+  const gate = createAdmission({ slots: 1, floors: new Map() });
+  gate.offer(createWork("a"), 0);
+  gate.offer(createWork("b", { deadlineAt: 100 }), 0);
+  gate.offer(createWork("c", { deadlineAt: 100_000 }), 0);
+  const actions = gate.finish("a", { shed: false }, { now: 5_000 });
+  expect(actions.map(({ kind, work }) => [kind, work.id])).toEqual([
+    ["refuse", "b"],
+    ["run", "c"],
+  ]);
+});
+
+test("a leaving gate takes no new work and finishes what it has", () => {
+  const gate = createAdmission({ slots: 1, floors: new Map() });
+  gate.offer(createWork("a"), 0);
+  gate.offer(createWork("b"), 0);
+  gate.leave();
+  const [refusal] = gate.offer(createWork("c"), 1);
+  expect(refusal).toMatchObject({ kind: "refuse", reason: "leaving" });
+  const [next] = gate.finish("a", { shed: false }, { now: 2 });
+  expect(next).toMatchObject({ kind: "run", work: { id: "b" } });
+});
+
+test("callers of one account share a rank fairly", () => {
+  const gate = createAdmission({ slots: 2, floors: new Map() });
+  gate.offer(createWork("a1", { caller: "account/a" }), 0);
+  gate.offer(createWork("a2", { caller: "account/a" }), 0);
+  gate.offer(createWork("a3", { caller: "account/a" }), 0);
+  gate.offer(createWork("b1", { caller: "account/b" }), 0);
+  const [next] = gate.finish("a1", { shed: false }, { now: 5 });
+  expect(next).toMatchObject({ kind: "run", work: { id: "b1" } });
+});
+
+test("a floor yields when protected work would miss its deadline", () => {
+  const floors = new Map([["low", 0.5]]);
+  const start = (deadlineAt: number) => {
+    const gate = createAdmission({ slots: 1, floors });
+    gate.offer(createWork("first", { kind: "other" }), 0);
+    gate.finish("first", { shed: false }, { now: 50 });
+    gate.offer(createWork("busy", { kind: "other" }), 50);
+    gate.offer(createWork("low", { kind: "low" }), 50);
+    const level = PROTECTED_LEVEL;
+    gate.offer(createWork("urgent", { kind: "u", level, deadlineAt }), 50);
+    return gate.finish("busy", { shed: false }, { now: 100 })[0]?.work.id;
+  };
+  expect(start(1_000)).toBe("low");
+  expect(start(190)).toBe("urgent");
+});
--- /dev/null
+++ b/packages/policy/src/__tests__/ledger_test.ts
@@ -0,0 +1,49 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { createLedger } from "../ledger.ts";
+
+const STEP = fc.record({
+  kind: fc.constantFrom("spend", "split", "close", "lose"),
+  pick: fc.nat(1_000),
+});
+
+test("a call tree never spends more than its allowance", () => {
+  fc.assert(fc.property(
+    fc.integer({ min: 0, max: 10 }),
+    fc.array(STEP, { maxLength: 60 }),
+    (allowance, steps) => {
+      const ledger = createLedger();
+      const parents = new Map<string, string>();
+      const open = ["root"];
+      let spent = 0;
+      let lost = 0;
+      ledger.open("root", allowance);
+      for (const [index, step] of steps.entries()) {
+        const id = open[step.pick % open.length] ?? "root";
+        if (step.kind === "spend" && ledger.spend(id)) spent++;
+        if (step.kind === "split") {
+          const child = `call-${index}`;
+          ledger.open(child, ledger.split(id));
+          parents.set(child, id);
+          open.push(child);
+        }
+        const ends = step.kind === "close" || step.kind === "lose";
+        if (ends && id !== "root") {
+          const unspent = ledger.close(id);
+          open.splice(open.indexOf(id), 1);
+          // The answer is lost, and with it the unspent rest.
+          if (step.kind === "lose") lost += unspent;
+          else ledger.credit(parents.get(id) ?? "", unspent);
+        }
+      }
+      const left = open.reduce((sum, id) => sum + ledger.left(id), 0);
+      expect(spent + left + lost).toBeLessThanOrEqual(allowance);
+    },
+  ));
+});
+
+test("a call without an account has no retries", () => {
+  const ledger = createLedger();
+  expect(ledger.split("unknown")).toBe(0);
+  expect(ledger.spend("unknown")).toBe(false);
+});
--- /dev/null
+++ b/packages/policy/src/__tests__/router_test.ts
@@ -0,0 +1,81 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import {
+  EJECT_FAILURES,
+  EJECT_SHARE_MAX,
+  PROTECTED_LEVEL,
+} from "../constants.ts";
+import { createRouter } from "../router.ts";
+import type { Upstream } from "../upstream.ts";
+
+function upstream(index: number, dataCentre = "a"): Upstream {
+  const id = `up-${index}`;
+  const address = `127.0.0.1:${index}`;
+  return { id, service: "selos", dataCentre, address, incarnation: "1" };
+}
+
+function createSeededRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+    return state / 2 ** 32;
+  };
+}
+
+const DEMAND = { service: "selos", level: 10 };
+
+function createFilled(upstreams: readonly Upstream[]) {
+  const router = createRouter({ owner: "me", dataCentres: ["a", "b"] });
+  router.update("selos", upstreams, { now: 0, warm: true });
+  return router;
+}
+
+test("a leaving gate is never picked, until it comes back anew", () => {
+  const router = createFilled([upstream(1), upstream(2)]);
+  router.markLeaving("up-1", "1");
+  const random = createSeededRandom(7);
+  for (let index = 0; index < 200; index++) {
+    expect(router.pick(DEMAND, { now: index, random })?.id).toBe("up-2");
+  }
+  const anew = { ...upstream(1), incarnation: "2" };
+  router.update("selos", [anew, upstream(2)], { now: 500 });
+  router.markLeaving("up-2", "1");
+  expect(router.pick(DEMAND, { now: 501, random })?.id).toBe("up-1");
+});
+
+test("own data centre first, the other one when the own is full", () => {
+  const router = createFilled([upstream(1, "a"), upstream(2, "b")]);
+  const random = createSeededRandom(7);
+  expect(router.pick(DEMAND, { now: 0, random })?.id).toBe("up-1");
+  const report = { inFlight: 9, queued: 9, limit: 9, leaving: false };
+  router.report("up-1", { ...report, acceptLevel: 50 }, 0);
+  expect(router.pick(DEMAND, { now: 1, random })?.id).toBe("up-2");
+  const urgent = { service: "selos", level: PROTECTED_LEVEL };
+  expect(router.pick(urgent, { now: 1, random })?.id).toBe("up-1");
+});
+
+test("only a bounded share of a service is ejected", () => {
+  fc.assert(fc.property(
+    fc.array(fc.nat(7), { maxLength: 200 }),
+    (failures) => {
+      const all = Array.from({ length: 8 }, (_, index) => upstream(index));
+      const router = createFilled(all);
+      for (const index of failures) {
+        for (let count = 0; count < EJECT_FAILURES; count++) {
+          router.begin(`up-${index}`);
+          router.end(`up-${index}`, "failure", { now: 10 });
+        }
+      }
+      const ejected = router.snapshot(11).filter((up) => up.ejected).length;
+      expect(ejected).toBeLessThanOrEqual(8 * EJECT_SHARE_MAX);
+      const random = createSeededRandom(3);
+      expect(router.pick(DEMAND, { now: 11, random })).toBeDefined();
+    },
+  ));
+});
+
+test("a node keeps state for a subset of a large service", () => {
+  const all = Array.from({ length: 500 }, (_, index) => upstream(index));
+  const router = createFilled(all);
+  expect(router.snapshot(0).length).toBeLessThanOrEqual(32);
+});
--- /dev/null
+++ b/packages/policy/src/__tests__/suspects_test.ts
@@ -0,0 +1,39 @@
+import { expect, test } from "vitest";
+import { MASS_FAILURE_DEATHS, SUSPECT_TTL_MS } from "../constants.ts";
+import { createSuspects } from "../suspects.ts";
+
+function death(id: string, at: number, digests: readonly string[]) {
+  return { id, instance: id, at, digests };
+}
+
+test("after one death a call runs alone, after two it is quarantined", () => {
+  const suspects = createSuspects();
+  suspects.record(death("a", 0, ["poison", "innocent"]));
+  expect(suspects.suspicion("poison", 1)).toBe("alone");
+  suspects.clear("innocent", 2);
+  suspects.record(death("b", 2_000, ["poison"]));
+  expect(suspects.suspicion("poison", 2_001)).toBe("quarantined");
+  expect(suspects.suspicion("innocent", 2_001)).toBe("clear");
+});
+
+test("a death that is heard of twice counts once", () => {
+  const suspects = createSuspects();
+  expect(suspects.record(death("a", 0, ["x"]))).toBe(true);
+  expect(suspects.record(death("a", 0, ["x"]))).toBe(false);
+  expect(suspects.suspicion("x", 1)).toBe("alone");
+});
+
+test("a mass failure makes no suspects of calls that saw one death", () => {
+  const suspects = createSuspects();
+  for (let index = 0; index < MASS_FAILURE_DEATHS; index++) {
+    suspects.record(death(`gate-${index}`, index, [`call-${index}`, "hot"]));
+  }
+  expect(suspects.suspicion("call-0", 10)).toBe("clear");
+  expect(suspects.suspicion("hot", 10)).toBe("alone");
+});
+
+test("suspicion ends", () => {
+  const suspects = createSuspects();
+  suspects.record(death("a", 0, ["x"]));
+  expect(suspects.suspicion("x", SUSPECT_TTL_MS + 1)).toBe("clear");
+});
--- /dev/null
+++ b/packages/policy/src/__tests__/tickets_test.ts
@@ -0,0 +1,116 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { refused, unknown } from "../outcome.ts";
+import { createTicketBook, type Ticket } from "../tickets.ts";
+
+const TTL_MS = 100;
+
+const EVENT = fc.oneof(
+  fc.record({ kind: fc.constant("present" as const), pick: fc.nat(9) }),
+  fc.record({
+    kind: fc.constant("settle" as const),
+    pick: fc.nat(9),
+    outcome: fc.constantFrom("answered", "unknown", "refused"),
+  }),
+  fc.record({ kind: fc.constant("pause" as const), ms: fc.nat(150) }),
+  fc.record({ kind: fc.constant("expire" as const) }),
+  fc.record({ kind: fc.constant("restart" as const) }),
+);
+
+test("a ticket is run at most once, whatever is resent, late or restarted", () => {
+  fc.assert(fc.property(fc.array(EVENT, { maxLength: 80 }), (events) => {
+    let incarnation = 1;
+    const open = () =>
+      createTicketBook({
+        instance: "home",
+        incarnation: String(incarnation),
+        ttlMs: TTL_MS,
+      });
+    let book = open();
+    let now = 0;
+    const tickets: Ticket[] = [];
+    for (let index = 0; index < 10; index++) {
+      const ticket = book.mint(`nonce-${index}`, now);
+      if (ticket) tickets.push(ticket);
+    }
+    const mayHaveRun = new Map<string, number>();
+    const running = new Set<string>();
+    for (const event of events) {
+      switch (event.kind) {
+        case "present": {
+          const ticket = tickets[event.pick];
+          if (!ticket) break;
+          const verdict = book.present({ ticket, digest: "body" }, now);
+          if (verdict.kind !== "run") break;
+          const runs = (mayHaveRun.get(ticket.nonce) ?? 0) + 1;
+          mayHaveRun.set(ticket.nonce, runs);
+          running.add(ticket.nonce);
+          expect(runs).toBe(1);
+          break;
+        }
+        case "settle": {
+          const nonce = tickets[event.pick]?.nonce ?? "";
+          if (!running.delete(nonce)) break;
+          if (event.outcome === "refused") {
+            book.settle(nonce, refused("overload"));
+            mayHaveRun.set(nonce, 0);
+          } else if (event.outcome === "unknown") {
+            book.settle(nonce, unknown("connection_lost"));
+          } else {
+            book.settle(nonce, { kind: "answered" }, { savedBytes: 10 });
+          }
+          break;
+        }
+        case "pause":
+          now += event.ms;
+          break;
+        case "expire":
+          book.expire(now);
+          break;
+        case "restart":
+          incarnation++;
+          running.clear();
+          book = open();
+      }
+    }
+  }));
+});
+
+test("a ticket with another body is a conflict", () => {
+  const book = createTicketBook({ instance: "home", incarnation: "1" });
+  const ticket = book.mint("nonce", 0);
+  if (!ticket) throw new Error("expected a ticket");
+  expect(book.present({ ticket, digest: "a" }, 0).kind).toBe("run");
+  expect(book.present({ ticket, digest: "b" }, 0).kind).toBe("conflict");
+  expect(book.present({ ticket, digest: "a" }, 0).kind).toBe("join");
+});
+
+test("a full book mints no more tickets and forgets none", () => {
+  const config = { instance: "home", incarnation: "1", ttlMs: TTL_MS };
+  const book = createTicketBook({ ...config, ticketsMax: 2 });
+  const first = book.mint("a", 0);
+  book.mint("b", 0);
+  expect(book.mint("c", 0)).toBeUndefined();
+  if (!first) throw new Error("expected a ticket");
+  expect(book.present({ ticket: first, digest: "x" }, 50).kind).toBe("run");
+  expect(book.mint("d", TTL_MS)).toBeDefined();
+  expect(book.knows("a")).toBe(true);
+});
+
+test("saved answers above the bound stop the minting", () => {
+  const config = { instance: "home", incarnation: "1", savedBytesMax: 10 };
+  const book = createTicketBook(config);
+  const ticket = book.mint("a", 0);
+  if (!ticket) throw new Error("expected a ticket");
+  book.present({ ticket, digest: "x" }, 0);
+  book.settle("a", { kind: "answered" }, { savedBytes: 10 });
+  expect(book.mint("b", 0)).toBeUndefined();
+});
+
+test("another incarnation never runs a ticket", () => {
+  const before = createTicketBook({ instance: "home", incarnation: "1" });
+  const after = createTicketBook({ instance: "home", incarnation: "2" });
+  const ticket = before.mint("a", 0);
+  if (!ticket) throw new Error("expected a ticket");
+  expect(after.present({ ticket, digest: "x" }, 0).kind).toBe("home_gone");
+});
