feat(bench): the policy between fakes in virtual time

Cause: the decisions had no measure. Change: coltsfootdeal-bench runs the real gates, routers, dispatchers, ledgers, tickets and suspects between fake backend servers and callers; scenarios, baselines, a linear programme for the capacity, a table.

--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,107 @@
+#!/usr/bin/env node
+/** The binary `coltsfootdeal-bench`. */
+
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { runScenario } from "./run_scenario.ts";
+import { SCENARIOS } from "./scenarios.ts";
+import { formatHeader, formatRow } from "./table.ts";
+import { VARIANTS } from "./variants.ts";
+import { createMalabar, createSeloVerde, type Workload } from "./workload.ts";
+
+const USAGE = `usage: coltsfootdeal-bench [options]
+  --scenario NAME    one scenario (default: all); see --list
+  --deployment NAME  selo-verde or malabar (default: both)
+  --variant NAME     ${VARIANTS.map(({ name }) => name).join(", ")} or all
+                     (default: coltsfootdeal)
+  --overload X       load during the pressure, in capacities (default: 2)
+  --seed N           seed of the run (default: 1)
+  --pressure-ms N    length of the pressure (default: 30000)
+  --json             one JSON object a line
+  --list             list the scenarios`;
+
+function fail(message: string): never {
+  process.stderr.write(`${message}\n`);
+  process.exit(2);
+}
+
+function parse() {
+  try {
+    return parseArgs({
+      options: {
+        scenario: { type: "string" },
+        deployment: { type: "string" },
+        variant: { type: "string", default: "coltsfootdeal" },
+        overload: { type: "string", default: "2" },
+        seed: { type: "string", default: "1" },
+        "pressure-ms": { type: "string", default: "30000" },
+        json: { type: "boolean", default: false },
+        list: { type: "boolean", default: false },
+        help: { type: "boolean", default: false },
+      },
+    }).values;
+  } catch (error) {
+    return fail(`${(error as Error).message}\n${USAGE}`);
+  }
+}
+
+function positive(text: string, name: string): number {
+  const value = Number(text);
+  if (!Number.isFinite(value) || value <= 0) {
+    return fail(`--${name}: expected a number above 0, found "${text}"`);
+  }
+  return value;
+}
+
+/** The items with a name, or all. */
+function choose<Item extends { readonly name: string }>(
+  items: readonly Item[],
+  name: string | undefined,
+): readonly Item[] {
+  if (name === undefined || name === "all") return items;
+  const found = items.filter((item) => item.name === name);
+  const known = items.map((item) => item.name).join(", ");
+  return found.length > 0
+    ? found
+    : fail(`${name}: expected one of ${known}, all`);
+}
+
+function main(): void {
+  const values = parse();
+  if (values.help) return void process.stdout.write(`${USAGE}\n`);
+  if (values.list) {
+    return void process.stdout.write(`${SCENARIOS.join("\n")}\n`);
+  }
+  const workloads: readonly Workload[] = choose(
+    [createSeloVerde(), createMalabar()],
+    values.deployment,
+  );
+  const variants = choose(VARIANTS, values.variant);
+  const scenarios = choose(
+    SCENARIOS.map((name) => ({ name })),
+    values.scenario,
+  );
+  const overload = positive(values.overload, "overload");
+  const seed = positive(values.seed, "seed");
+  const pressureMs = positive(values["pressure-ms"], "pressure-ms");
+  if (!values.json) process.stdout.write(`${formatHeader()}\n`);
+  for (const { name: scenario } of scenarios) {
+    for (const workload of workloads) {
+      for (const variant of variants) {
+        const result = runScenario({
+          scenario,
+          workload,
+          variant,
+          seed,
+          overload,
+          pressureMs,
+        });
+        if (result === undefined) continue;
+        const line = values.json ? JSON.stringify(result) : formatRow(result);
+        process.stdout.write(`${line}\n`);
+      }
+    }
+  }
+}
+
+main();
--- /dev/null
+++ b/packages/bench/src/plain_dispatcher.ts
@@ -0,0 +1,69 @@
+/** The baselines' dispatcher: a fixed number of retries a hop, no budget. */
+
+import type {
+  Call,
+  Dispatcher,
+  Moment,
+  Outcome,
+  Router,
+  Step,
+} from "@coltsfootdeal/policy";
+
+interface Progress {
+  readonly call: Call;
+  attempts: number;
+  upstream: string;
+}
+
+/** Creates a dispatcher that retries whatever is not answered. */
+export function createPlainDispatcher(
+  router: Router,
+  retries: number,
+): Dispatcher {
+  const calls = new Map<string, Progress>();
+
+  function finish(id: string, outcome: Outcome): Step {
+    calls.delete(id);
+    return { kind: "finish", outcome, unspent: 0 };
+  }
+
+  function attempt(progress: Progress, last: Outcome, moment: Moment): Step {
+    const { call } = progress;
+    if (progress.attempts > retries) return finish(call.id, last);
+    const demand = { service: call.service, level: Infinity };
+    const upstream = router.pick(demand, moment);
+    if (upstream === undefined) return finish(call.id, last);
+    progress.attempts++;
+    progress.upstream = upstream.id;
+    router.begin(upstream.id);
+    const attemptId = `${call.id}.${progress.attempts}`;
+    return { kind: "attempt", attemptId, upstream, share: 0, alone: false };
+  }
+
+  return {
+    begin: (call, moment) => {
+      const progress = { call, attempts: 0, upstream: "" };
+      calls.set(call.id, progress);
+      return attempt(progress, { kind: "failed" }, moment);
+    },
+    resume: (id) => finish(id, { kind: "failed" }),
+    settle: (id, end, options) => {
+      const progress = calls.get(id);
+      if (progress === undefined) return finish(id, { kind: "failed" });
+      router.end(progress.upstream, "success", options);
+      if (end.kind === "answered") return finish(id, { kind: "answered" });
+      const last: Outcome = end.kind === "unreachable"
+        ? { kind: "unknown", reason: "connection_lost" }
+        : end.kind === "failed"
+        ? { kind: "failed" }
+        : end;
+      return attempt(progress, last, options);
+    },
+    abandon: (id, now) => {
+      const progress = calls.get(id);
+      if (progress) router.end(progress.upstream, "success", { now });
+      calls.delete(id);
+    },
+    inFlight: () => calls.size,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/table.ts
@@ -0,0 +1,55 @@
+/** Results as a table for people. */
+
+import type { RunResult } from "./run_scenario.ts";
+
+interface Column {
+  readonly title: string;
+  readonly width: number;
+  readonly text: (result: RunResult) => string;
+}
+
+function ratio(value: number | null): string {
+  return value === null ? "-" : value.toFixed(3);
+}
+
+const COLUMNS: readonly Column[] = [
+  { title: "scenario", width: 13, text: (r) => r.scenario },
+  { title: "deployment", width: 11, text: (r) => r.deployment },
+  { title: "variant", width: 14, text: (r) => r.variant },
+  { title: "load", width: 5, text: (r) => String(r.overload) },
+  { title: "goodput", width: 8, text: (r) => ratio(r.goodputRatio) },
+  {
+    title: "recovery",
+    width: 9,
+    text: (r) => r.recoveryMs === null ? "never" : `${r.recoveryMs}ms`,
+  },
+  {
+    title: "protected",
+    width: 10,
+    text: (r) => ratio(r.protectedAnsweredRatio),
+  },
+  { title: "kept", width: 6, text: (r) => ratio(r.otherKeptRatio) },
+  { title: "invert", width: 7, text: (r) => String(r.rankInversions) },
+  { title: "dup", width: 5, text: (r) => String(r.duplicateRuns) },
+  { title: "false", width: 6, text: (r) => String(r.falseNotRun) },
+  { title: "wrong", width: 6, text: (r) => String(r.wrongAnswers) },
+  { title: "cut", width: 5, text: (r) => String(r.cutInFlight) },
+  { title: "runs", width: 5, text: (r) => String(r.maxAttemptsPerRoot) },
+  { title: "attempts", width: 9, text: (r) => r.attemptsPerRoot.toFixed(2) },
+  {
+    title: "leaving",
+    width: 8,
+    text: (r) => `${Math.round(r.newWorkAfterLeavingMs)}ms`,
+  },
+  { title: "poison", width: 7, text: (r) => r.crashesPerPoison.toFixed(1) },
+];
+
+/** The table's head. */
+export function formatHeader(): string {
+  return COLUMNS.map(({ title, width }) => title.padEnd(width)).join(" ");
+}
+
+/** One result as a row. */
+export function formatRow(result: RunResult): string {
+  return COLUMNS.map(({ text, width }) => text(result).padEnd(width)).join(" ");
+}
