feat(policy): order by worth, and children before new requests

Change: a service may order its unprotected work by worth per slot time, learned from answers; a call further down goes before new requests.

--- a/packages/bench/src/callers.ts
+++ b/packages/bench/src/callers.ts
@@ -104,7 +104,7 @@
 
   function send(sending: Sending, attempt: number): void {
     const { record, rootId, node, deadlineAt, poison } = sending;
-    const { tree, level } = record.root;
+    const { tree } = record.root;
     const once = !tree.kind.idempotent;
     const requestId = once ? rootId : `${rootId}/${attempt}`;
     timeline.after(CLIENT_LATENCY_MS, () => {
@@ -116,7 +116,8 @@
         poison,
         failing: false,
         tree,
-        level,
+        parentLevel: undefined,
+        weight: tree.kind.weight,
         // What is answered later than this arrives too late.
         deadlineAt: deadlineAt - CLIENT_LATENCY_MS,
         allowance: tree.kind.retryAllowance,
--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -8,6 +8,7 @@
   createLedger,
   createRetryBudget,
   createRouter,
+  createServiceTime,
   createSuspects,
   createTicketBook,
   type Death,
@@ -17,6 +18,7 @@
   type Outcome,
   PROTECTED_LEVEL,
   refused,
+  resolveChildLevel,
   type Router,
   type Step,
   type Suspects,
@@ -25,6 +27,7 @@
   type Upstream,
   type Work,
 } from "@coltsfootdeal/policy";
+import { levelOf } from "@coltsfootdeal/bundle";
 import {
   CONNECT_TIMEOUT_MS,
   GOSSIP_MS,
@@ -58,7 +61,10 @@
 /** A call as a node takes it. */
 export interface SimulatedCall extends RequestTraits {
   readonly tree: CallTree;
-  readonly level: number;
+  /** Level of the parent; undefined for a request. */
+  readonly parentLevel: number | undefined;
+  /** Worth of the request. */
+  readonly weight: number;
   readonly deadlineAt: number;
   readonly allowance: number;
 }
@@ -128,6 +134,13 @@
   /** Whose answer it is. */
   readonly rootId: string | undefined;
   readonly death: Death | undefined;
+  readonly slotMs: number;
+}
+
+interface Parent {
+  readonly level: number;
+  readonly weight: number;
+  readonly deadlineAt: number;
 }
 
 interface Job {
@@ -228,7 +241,8 @@
     const runningWork = new Map<string, Work>();
     const cancelling = new Set<string>();
     const startedAt = new Map<number, number>();
-    const parents = new Map<string, { level: number; deadlineAt: number }>();
+    const slotTimes = createServiceTime();
+    const parents = new Map<string, Parent>();
     const tickets: TicketBook = createTicketBook({
       instance: id,
       incarnation: "1",
@@ -278,7 +292,8 @@
           poison: false,
           failing: run.failing,
           tree,
-          level: parent.level,
+          parentLevel: parent.level,
+          weight: parent.weight,
           deadlineAt: parent.deadlineAt,
           allowance: ledger.split(run.runId),
         };
@@ -314,9 +329,10 @@
       const now = timeline.now();
       job.startedAt = now;
       runningWork.set(runId, work);
-      startedAt.set(call.level, now);
+      startedAt.set(work.level, now);
       ledger.open(runId, job.allowance);
-      parents.set(runId, { level: call.level, deadlineAt: call.deadlineAt });
+      const { weight, deadlineAt } = call;
+      parents.set(runId, { level: work.level, weight, deadlineAt });
       const run = {
         runId,
         rootId: call.rootId,
@@ -405,7 +421,19 @@
         ? { kind: outcome.kind, unspent }
         : outcome;
       const { rootId, death } = details;
-      job.reply({ end, rootId, death });
+      const slotMs = job.startedAt === undefined
+        ? 0
+        : timeline.now() - job.startedAt;
+      job.reply({ end, rootId, death, slotMs });
+    }
+
+    function levelOfCall({ tree, weight, parentLevel }: SimulatedCall) {
+      const { catalog } = workload;
+      const slotMs = slotTimes.ofKind(`${tree.service}/${tree.kind.name}`);
+      const own = levelOf(tree.kind, { catalog, slotMs, weight });
+      return parentLevel === undefined
+        ? own
+        : resolveChildLevel(parentLevel, own);
     }
 
     function handle(
@@ -416,6 +444,7 @@
       const callId = `${id}:${calls}`;
       const arrivedAt = timeline.now();
       const moment = () => ({ now: timeline.now(), random: draw.unit });
+      const level = levelOfCall(call);
       let answeredRootId: string | undefined;
       let attempt: Pending | undefined;
       let ended = false;
@@ -423,7 +452,7 @@
       function conclude(outcome: Outcome, unspent: number): void {
         if (ended) return;
         ended = true;
-        const urgent = call.level >= PROTECTED_LEVEL;
+        const urgent = level >= PROTECTED_LEVEL;
         const reason = outcome.kind === "refused" ? outcome.reason : "";
         const forced = reason === "quarantined" || reason === "leaving";
         if (urgent && reason !== "" && !forced) {
@@ -478,11 +507,15 @@
           runId,
           allowance: step.share,
           digest: digestOf(call),
-          reply: ({ end, rootId, death }) => {
+          reply: ({ end, rootId, death, slotMs }) => {
             if (isCut(self, target)) return;
             timeline.after(delay, () =>
               asProcess(() => {
                 if (death) suspects.record(death);
+                const { service: name, kind } = call.tree;
+                if (slotMs > 0) {
+                  slotTimes.observe(`${name}/${kind.name}`, slotMs);
+                }
                 settle(end, rootId);
               }));
           },
@@ -492,7 +525,7 @@
         const work: Work = {
           id: runId,
           kind: call.tree.kind.name,
-          level: call.level,
+          level,
           caller: call.caller,
           deadlineAt: call.deadlineAt,
           cancellable: call.tree.kind.idempotent &&
@@ -518,7 +551,7 @@
       const dispatched: Call = {
         id: callId,
         service: call.tree.service,
-        level: call.level,
+        level,
         idempotent: call.tree.kind.idempotent,
         caller: call.caller,
         deadlineAt: call.deadlineAt,
--- a/packages/bench/src/workload.ts
+++ b/packages/bench/src/workload.ts
@@ -6,7 +6,6 @@
   checkBundle,
   createCatalog,
   type Kind,
-  levelOf,
 } from "@coltsfootdeal/bundle";
 
 /** A call and the calls that it makes further down, one after the other. */
@@ -22,7 +21,6 @@
 export interface RootKind {
   readonly name: string;
   readonly tree: CallTree;
-  readonly level: number;
   /** Share of all requests. */
   readonly share: number;
   /** Number of different callers. */
@@ -116,7 +114,6 @@
     return {
       name: chain[0] ?? "",
       tree,
-      level: levelOf(tree.kind),
       share: share / total,
       callers,
     };
@@ -133,10 +130,10 @@
     dataCentres: ["pt-centro-1", "pt-centro-2", "pt-centro-3"],
     remoteLatencyMs: 1.5,
     services: {
-      "portal-produtor": { upstreams: 4, serviceMs: 100 },
-      relatorios: { upstreams: 4, serviceMs: 80 },
-      comite: { upstreams: 3, serviceMs: 120 },
-      selos: { upstreams: 3, serviceMs: 20 },
+      "portal-produtor": { upstreams: 4, serviceMs: 200 },
+      relatorios: { upstreams: 4, serviceMs: 160 },
+      comite: { upstreams: 3, serviceMs: 240 },
+      selos: { upstreams: 3, serviceMs: 40 },
     },
     roots: [
       { chain: ["comite/sanction"], share: 2, callers: 20 },
@@ -169,10 +166,10 @@
     dataCentres: ["kochi-1", "kochi-2", "kochi-3"],
     remoteLatencyMs: 1,
     services: {
-      parlist: { upstreams: 4, serviceMs: 80 },
-      inventory: { upstreams: 4, serviceMs: 60 },
-      billing: { upstreams: 3, serviceMs: 120 },
-      roomdesk: { upstreams: 3, serviceMs: 40 },
+      parlist: { upstreams: 4, serviceMs: 160 },
+      inventory: { upstreams: 4, serviceMs: 120 },
+      billing: { upstreams: 3, serviceMs: 240 },
+      roomdesk: { upstreams: 3, serviceMs: 80 },
     },
     roots: [
       { chain: ["billing/folio-charge"], share: 8, callers: 200 },
--- a/packages/bundle/src/bundle.ts
+++ b/packages/bundle/src/bundle.ts
@@ -1,5 +1,7 @@
 /** The bundle: what operators say about callers, services and kinds. */
 
+import type { Order } from "@coltsfootdeal/policy";
+
 /** A group of callers that share one account. */
 export interface Account {
   readonly name: string;
@@ -21,6 +23,8 @@
   /** Status and header with which it says that it did not run a call. */
   readonly shedStatus: number | undefined;
   readonly shedHeader: string | undefined;
+  /** What orders its unprotected work. */
+  readonly order: Order;
   /** Path of its health page; answers 503 while it is leaving. */
   readonly healthPath: string | undefined;
 }
--- a/packages/bundle/src/catalog.ts
+++ b/packages/bundle/src/catalog.ts
@@ -2,7 +2,7 @@
 
 import { createHash, timingSafeEqual } from "node:crypto";
 import { Buffer } from "node:buffer";
-import { PROTECTED_LEVEL } from "@coltsfootdeal/policy";
+import { resolveLevel } from "@coltsfootdeal/policy";
 import type { Account, Bundle, Kind, Service } from "./bundle.ts";
 import { FLEET_SCOPE } from "./constants.ts";
 
@@ -15,9 +15,22 @@
   readonly services: () => readonly Service[];
 }
 
-/** Importance of a kind: its rank, above all others if it is protected. */
-export function levelOf(kind: Kind): number {
-  return kind.protected ? PROTECTED_LEVEL + kind.rank : kind.rank;
+/** What a kind's level depends on beside the kind. */
+export interface LevelContext {
+  readonly catalog: Catalog;
+  /** Slot time of a run in ms; 0 while it is not known. */
+  readonly slotMs: number;
+  /** Worth of the request that the call is part of, if it is not its own. */
+  readonly weight?: number;
+}
+
+/** The level of a kind's calls. */
+export function levelOf(kind: Kind, context: LevelContext): number {
+  const { catalog, slotMs } = context;
+  const order = catalog.service(kind.service)?.order ?? "rank";
+  const weight = context.weight ?? kind.weight;
+  const { rank, protected: isProtected } = kind;
+  return resolveLevel({ rank, protected: isProtected, weight, order, slotMs });
 }
 
 /** Whether the account admits the caller and the token. */
--- a/packages/node/src/chains.ts
+++ b/packages/node/src/chains.ts
@@ -6,6 +6,8 @@
 /** A run, as far as the calls further down are concerned. */
 export interface ChainParent {
   readonly level: number;
+  /** Worth of the request that the run is part of. */
+  readonly weight: number;
   readonly deadlineAt: number;
 }
 
--- a/packages/node/src/gate/gate.ts
+++ b/packages/node/src/gate/gate.ts
@@ -26,6 +26,8 @@
   readonly id: string;
   readonly kind: string;
   readonly level: number;
+  /** Worth of the request that the call is part of. */
+  readonly weight: number;
   readonly account: string;
   readonly caller: string;
   readonly deadlineAt: number;
@@ -43,6 +45,8 @@
   readonly answer: Answer;
   /** Retries that were not spent further down. */
   readonly unspent: number;
+  /** Time for which the call held its slot, in ms; 0 if it was not run. */
+  readonly slotMs: number;
   /** The death of the backend server during this run. */
   readonly death?: Death;
 }
@@ -88,6 +92,7 @@
   readonly reply: (reply: GateReply) => void;
   readonly abort: AbortController;
   started: boolean;
+  startedAt: number;
 }
 
 function floorsOf(
@@ -151,7 +156,9 @@
     digests.delete(job.call.id);
     const unspent = job.started ? ledger.close(job.call.id) : 0;
     if (job.started) chains.close(job.call.id);
-    job.reply({ answer, unspent, ...(death === undefined ? {} : { death }) });
+    const slotMs = job.started ? clock.now() - job.startedAt : 0;
+    const died = death === undefined ? {} : { death };
+    job.reply({ answer, unspent, slotMs, ...died });
   }
 
   function start(job: Job): void {
@@ -160,8 +167,10 @@
     const service = contract;
     if (service === undefined) return;
     job.started = true;
+    job.startedAt = now;
     ledger.open(call.id, call.allowance);
-    chains.open(call.id, { level: call.level, deadlineAt: call.deadlineAt });
+    const { level, weight, deadlineAt } = call;
+    chains.open(call.id, { level, weight, deadlineAt });
     digests.set(call.id, call.digest);
     losses.started(call.id);
     const running = config.backend.run({
@@ -283,10 +292,11 @@
         reply: resolve,
         abort: new AbortController(),
         started: false,
+        startedAt: 0,
       };
       if (jobs.has(call.id)) {
         const answer = bareAnswer(unknown("connection_lost"));
-        return resolve({ answer, unspent: 0 });
+        return resolve({ answer, unspent: 0, slotMs: 0 });
       }
       jobs.set(call.id, job);
       task.post({ kind: "offer", job });
--- a/packages/node/src/headers.ts
+++ b/packages/node/src/headers.ts
@@ -13,6 +13,8 @@
   parent: "coltsfootdeal-parent",
   call: "coltsfootdeal-call",
   level: "coltsfootdeal-level",
+  weight: "coltsfootdeal-weight",
+  slot: "coltsfootdeal-slot-ms",
   allowance: "coltsfootdeal-allowance",
   alone: "coltsfootdeal-alone",
   digest: "coltsfootdeal-digest",
--- a/packages/node/src/ingress/data_api.ts
+++ b/packages/node/src/ingress/data_api.ts
@@ -140,6 +140,7 @@
       ...outcomeHeaders(answer.outcome),
       [HEADER.load]: formatLoad(gate.load()),
       [HEADER.unspent]: String(unspent),
+      [HEADER.slot]: String(Math.round(reply.slotMs)),
     };
     if (answer.status !== undefined) {
       headers[HEADER.status] = String(answer.status);
@@ -235,12 +236,13 @@
     const here = context.req.param("service") === config.service;
     if (body.isErr() || !id || level === undefined || !here) {
       const answer = bareAnswer(refused(here ? "invalid" : "no_upstream"));
-      return toNode({ answer, unspent: 0 });
+      return toNode({ answer, unspent: 0, slotMs: 0 });
     }
     const reply = await gate.submit({
       id,
       kind: context.req.param("kind") ?? "",
       level,
+      weight: Number(header(HEADER.weight)) || 0,
       account: header(HEADER.account) ?? "",
       caller: header(HEADER.caller) ?? "",
       deadlineAt: clock.now() + (remainingMs ?? 0),
--- a/packages/node/src/ingress/forwarder.ts
+++ b/packages/node/src/ingress/forwarder.ts
@@ -91,6 +91,7 @@
     "content-type": request.contentType ?? "application/octet-stream",
     [HEADER.call]: forward.id,
     [HEADER.level]: String(forward.level),
+    [HEADER.weight]: String(forward.weight),
     [HEADER.deadline]: String(Math.max(0, remaining)),
     [HEADER.account]: request.account,
     [HEADER.caller]: request.caller,
@@ -122,7 +123,7 @@
     return {
       end: endOf(reply.answer.outcome, reply.unspent),
       answer: reply.answer,
-      report: gate.load(),
+      report: { ...gate.load(), slotMs: reply.slotMs },
       death: reply.death,
     };
   }
@@ -133,6 +134,7 @@
       id: forward.id,
       kind: request.kind.name,
       level: forward.level,
+      weight: forward.weight,
       account: request.account,
       caller: request.caller,
       deadlineAt: forward.deadlineAt,
@@ -151,7 +153,9 @@
     const { headers } = end;
     const outcome = parseOutcome(headers);
     const unspent = readWholeNumber(headers[HEADER.unspent]) ?? 0;
-    const report = parseLoad(headers[HEADER.load]);
+    const load = parseLoad(headers[HEADER.load]);
+    const slotMs = readWholeNumber(headers[HEADER.slot]) ?? 0;
+    const report = load && { ...load, slotMs };
     const instance = headers[HEADER.instance];
     const incarnation = headers[HEADER.incarnation];
     if (instance !== undefined && incarnation !== undefined) {
--- a/packages/node/src/ingress/ingress.ts
+++ b/packages/node/src/ingress/ingress.ts
@@ -2,6 +2,7 @@
 
 import type { Buffer } from "node:buffer";
 import { randomBytes } from "node:crypto";
+import type { Kind } from "@coltsfootdeal/bundle";
 import type { Clock } from "@coltsfootdeal/kernel";
 import {
   type AttemptEnd,
@@ -12,6 +13,7 @@
   type Ledger,
   type Moment,
   refused,
+  resolveChildLevel,
   type Router,
   type Step,
   type Suspects,
@@ -30,6 +32,7 @@
   readonly upstream: Upstream;
   readonly request: CallerRequest;
   readonly level: number;
+  readonly weight: number;
   readonly deadlineAt: number;
   readonly share: number;
   readonly alone: boolean;
@@ -53,6 +56,10 @@
   readonly ledger: Ledger;
   readonly chains: Chains;
   readonly suspects: Suspects;
+  /** Level of a kind's calls, as part of a request of the given worth. */
+  readonly levelOf: (kind: Kind, weight: number) => number;
+  /** Learns for how long a run held its slot. */
+  readonly onSlotTime: (kind: Kind, slotMs: number) => void;
   readonly forward: (forward: Forward) => Promise<ForwardEnd>;
   readonly onDeath: (death: Death) => void;
 }
@@ -73,6 +80,7 @@
 
 interface Origin {
   readonly level: number;
+  readonly weight: number;
   readonly deadlineAt: number;
   readonly allowance: number;
   readonly parent: string | undefined;
@@ -97,15 +105,20 @@
   /** Level, deadline and allowance, as the run that makes the call has them. */
   function originOf(request: CallerRequest): Origin | undefined {
     const deadlineAt = clock.now() + request.deadlineMs;
-    const { level, parent } = request;
+    const { parent } = request;
     if (parent === undefined) {
       const allowance = request.kind.retryAllowance;
-      return { level, deadlineAt, allowance, parent };
+      const { weight } = request.kind;
+      const level = config.levelOf(request.kind, weight);
+      return { level, weight, deadlineAt, allowance, parent };
     }
     const run = chains.find(parent);
     if (run === undefined) return undefined;
+    const { weight } = run;
+    const own = config.levelOf(request.kind, weight);
     return {
-      level: Math.max(level, run.level),
+      level: resolveChildLevel(run.level, own),
+      weight,
       deadlineAt: Math.min(deadlineAt, run.deadlineAt),
       allowance: ledger.split(parent),
       parent,
@@ -125,7 +138,7 @@
   async function drive(
     call: Call,
     whole: WholeRequest,
-    options: { readonly signal: AbortSignal },
+    options: { readonly signal: AbortSignal; readonly weight: number },
   ): Promise<{ readonly answer: Answer; readonly unspent: number }> {
     const { signal } = options;
     let last: Answer | undefined;
@@ -151,6 +164,7 @@
             upstream: step.upstream,
             request: whole.request,
             level: call.level,
+            weight: options.weight,
             deadlineAt: call.deadlineAt,
             share: step.share,
             alone: step.alone,
@@ -159,6 +173,8 @@
             signal,
           });
           if (end.death) config.onDeath(end.death);
+          const slotMs = end.report?.slotMs ?? 0;
+          if (slotMs > 0) config.onSlotTime(whole.request.kind, slotMs);
           last = end.answer;
           if (signal.aborted) return abandon(call);
           const report = end.report === undefined ? {} : { report: end.report };
@@ -210,7 +226,8 @@
     try {
       const call = createCall(whole, origin);
       const { signal } = abort;
-      const { answer, unspent } = await drive(call, whole, { signal });
+      const { weight } = origin;
+      const { answer, unspent } = await drive(call, whole, { signal, weight });
       if (origin.parent !== undefined) ledger.credit(origin.parent, unspent);
       return answer;
     } finally {
--- a/packages/node/src/ingress/request.ts
+++ b/packages/node/src/ingress/request.ts
@@ -2,12 +2,7 @@
 
 import { createHash } from "node:crypto";
 import type { IncomingHttpHeaders } from "node:http";
-import {
-  admitsCaller,
-  type Catalog,
-  type Kind,
-  levelOf,
-} from "@coltsfootdeal/bundle";
+import { admitsCaller, type Catalog, type Kind } from "@coltsfootdeal/bundle";
 import { err, ok, type Result } from "neverthrow";
 import { HEADER, readWholeNumber } from "../headers.ts";
 
@@ -21,7 +16,6 @@
 export interface CallerRequest {
   readonly service: string;
   readonly kind: Kind;
-  readonly level: number;
   readonly account: string;
   readonly caller: string;
   /** Remaining time, at most what the kind allows, in ms. */
@@ -98,7 +92,6 @@
   return ok({
     service: target.service,
     kind,
-    level: levelOf(kind),
     ...bearer.value,
     deadlineMs: Math.min(asked, kind.deadlineMs),
     ticket: kind.idempotent ? undefined : ticket,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,7 +1,7 @@
 /** A node: a kernel whose services are ingress, gate and agent. */
 
 import { randomBytes } from "node:crypto";
-import { type Catalog, FLEET_SCOPE } from "@coltsfootdeal/bundle";
+import { type Catalog, FLEET_SCOPE, levelOf } from "@coltsfootdeal/bundle";
 import {
   type Clock,
   createKernel,
@@ -12,6 +12,7 @@
   createLedger,
   createPauseDetector,
   createRouter,
+  createServiceTime,
   createSuspects,
   type Death,
 } from "@coltsfootdeal/policy";
@@ -124,6 +125,7 @@
   const ledger = createLedger();
   const chains = createChains();
   const suspects = createSuspects();
+  const slotTimes = createServiceTime();
   const router = createRouter({
     owner: instance,
     dataCentres: settings.dataCentres,
@@ -183,6 +185,13 @@
     ledger,
     chains,
     suspects,
+    levelOf: (kind, weight) => {
+      const catalog = store.catalog();
+      const slotMs = slotTimes.ofKind(`${kind.service}/${kind.name}`);
+      return catalog ? levelOf(kind, { catalog, slotMs, weight }) : 0;
+    },
+    onSlotTime: (kind, slotMs) =>
+      slotTimes.observe(`${kind.service}/${kind.name}`, slotMs),
     forward,
     onDeath: (death) => suspects.record(death),
   });
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -1,7 +1,14 @@
 /** Constants of the policy, with their units. */
 
 /** Added to the rank of protected kinds, so that they are above all others. */
-export const PROTECTED_LEVEL = 1_000;
+export const PROTECTED_LEVEL = 10_000;
+/** Levels between two ranks; leaves room for the depth of a chain. */
+export const LEVELS_PER_RANK = 16;
+
+/** Range of worth per second that is told apart, in powers of two. */
+export const WORTH_OCTAVES = 24;
+/** Highest rank by worth. */
+export const WORTH_RANKS = 99;
 
 /** Longest time that unprotected work is planned to wait in a gate's queue. */
 export const QUEUE_WAIT_MS = 100;
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./constants.ts";
 export * from "./dispatch.ts";
 export * from "./ledger.ts";
+export * from "./level.ts";
 export * from "./limit.ts";
 export * from "./membership.ts";
 export * from "./outcome.ts";
--- a/packages/policy/src/upstream.ts
+++ b/packages/policy/src/upstream.ts
@@ -19,4 +19,6 @@
   readonly limit: number;
   readonly acceptLevel: number;
   readonly leaving: boolean;
+  /** Time for which the run that is answered held its slot, in ms. */
+  readonly slotMs?: number;
 }
