feat(policy): oldest first, and spill before the own data centre is full

Cause: (1) newest first left old entries of a rank to starve until their deadline, which callers see as unknown; (2) a data centre with one of four gates but a third of the callers ran at 107 % while others had room, since calls spilled only on refusal. Change: entries of a rank are served oldest first, the queue being bounded by planned wait; routing compares with the next data centre from a load of 0.9 on. Ruled out: service time tails (now uniform from 0.5 to 1.5 means in the fakes), the fakes' children sharing one caller name (mended).

--- a/packages/bench/src/fake_backend.ts
+++ b/packages/bench/src/fake_backend.ts
@@ -10,6 +10,7 @@
   readonly rootId: string;
   /** Differs from resend to resend, unless the call must not repeat. */
   readonly requestId: string;
+  readonly caller: string;
   readonly tree: CallTree;
   /** Crashes the backend server that runs it. */
   readonly poison: boolean;
@@ -112,7 +113,8 @@
     record(run);
     if (run.poison) return crash(restart);
     const cold = timeline.now() < coldUntil ? COLD_FACTOR : 1;
-    const time = draw.exponential(config.serviceMs() * cold);
+    // From half to one and a half times the mean.
+    const time = config.serviceMs() * cold * (0.5 + draw.unit());
     timeline.after(time, () => {
       if (entry.ended) return;
       if (run.failing) return end(entry, { kind: "failed" });
--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -287,7 +287,7 @@
         const child: SimulatedCall = {
           rootId: run.rootId,
           requestId: run.requestId,
-          caller: "chain",
+          caller: run.caller,
           resend: false,
           poison: false,
           failing: run.failing,
@@ -337,6 +337,7 @@
         runId,
         rootId: call.rootId,
         requestId: call.requestId,
+        caller: call.caller,
         tree: call.tree,
         poison: call.poison,
         failing: call.failing && call.tree.children.length === 0,
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -4,7 +4,6 @@
  */
 
 import {
-  OVERLOAD_DELAY_MS,
   PROTECTED_LEVEL,
   QUEUE_ENTRIES_MIN,
   QUEUE_ENTRIES_PER_SLOT,
@@ -97,14 +96,10 @@
   let aloneRuns = 0;
   let leaving = false;
 
-  function choice(now: number): Choice {
-    const oldest = queue.oldestAt();
-    return {
-      newestFirst: oldest !== undefined && now - oldest > OVERLOAD_DELAY_MS,
-      kindUse: (kind) => kindRuns.get(kind) ?? 0,
-      callerUse: (caller) => callerRuns.get(caller) ?? 0,
-    };
-  }
+  const choice: Choice = {
+    kindUse: (kind) => kindRuns.get(kind) ?? 0,
+    callerUse: (caller) => callerRuns.get(caller) ?? 0,
+  };
 
   function waitFrom(level: number): number {
     const ahead = queue.countFrom(level);
@@ -150,19 +145,18 @@
     for (const [kind, floor] of config.floors) {
       const guaranteed = Math.ceil(floor * limit.current());
       if ((kindRuns.get(kind) ?? 0) >= guaranteed) continue;
-      if (queue.chooseOfKind(kind, choice(now)) === undefined) continue;
+      if (queue.chooseOfKind(kind, choice) === undefined) continue;
       return protectedCanWait(now) ? kind : undefined;
     }
     return undefined;
   }
 
   function chooseNext(now: number): Work | undefined {
-    const now0 = choice(now);
-    const top = queue.choose(now0);
+    const top = queue.choose(choice);
     if (top === undefined) return undefined;
     const floored = config.floors.size > 0 ? kindBelowFloor(now) : undefined;
     if (floored === undefined) return top.work;
-    return queue.chooseOfKind(floored, now0)?.work ?? top.work;
+    return queue.chooseOfKind(floored, choice)?.work ?? top.work;
   }
 
   function fill(now: number): GateAction[] {
@@ -201,26 +195,26 @@
     return now + wait + times.ofKind(work.kind) <= work.deadlineAt;
   }
 
-  function enqueue(work: Work, now: number): GateAction[] {
+  function enqueue(work: Work): GateAction[] {
     const actions: GateAction[] = [];
     if (queue.size() >= queueBound()) {
-      const victim = queue.chooseVictim(choice(now));
+      const victim = queue.chooseVictim(choice);
       if (victim === undefined || victim.work.level >= work.level) {
         return [refuse(work, "overload")];
       }
       queue.remove(victim.work.id);
       actions.push(refuse(victim.work, "evicted"));
     }
-    queue.push({ work, queuedAt: now });
+    queue.push({ work });
     return actions;
   }
 
   function admitBusy(work: Work, now: number): GateAction[] {
-    if (fits(work, now)) return enqueue(work, now);
+    if (fits(work, now)) return enqueue(work);
     if (!isProtected(work)) return [refuse(work, "overload")];
     const victim = runningVictim(PROTECTED_LEVEL);
     if (victim === undefined) return [refuse(work, "overload")];
-    const actions = enqueue(work, now);
+    const actions = enqueue(work);
     if (actions.at(-1)?.kind === "refuse" && actions.at(-1)?.work === work) {
       return actions;
     }
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -16,8 +16,6 @@
 export const QUEUE_ENTRIES_PER_SLOT = 4;
 /** Fewest queue entries a gate allows. */
 export const QUEUE_ENTRIES_MIN = 16;
-/** Queue delay above which a rank is served newest first. */
-export const OVERLOAD_DELAY_MS = 20;
 /** Weight of a new sample in the service time average. */
 export const SERVICE_TIME_GAIN = 0.05;
 
@@ -39,6 +37,10 @@
 export const SUBSET_SIZE = 16;
 /** Time after which a reported load counts for half. */
 export const LOAD_HALF_LIFE_MS = 500;
+/** Load of the nearer gate from which farther ones are considered. */
+export const SPILL_LOAD = 0.9;
+/** By how much a farther gate's load must be lower. */
+export const SPILL_MARGIN = 0.2;
 /** Time for which a gate's accept level is believed. */
 export const ACCEPT_LEVEL_TTL_MS = 100;
 /** Time over which a new gate is ramped up to its full share. */
--- a/packages/policy/src/router.ts
+++ b/packages/policy/src/router.ts
@@ -13,6 +13,8 @@
   PROTECTED_LEVEL,
   SLOW_START_FLOOR,
   SLOW_START_MS,
+  SPILL_LOAD,
+  SPILL_MARGIN,
   SUBSET_SIZE,
 } from "./constants.ts";
 import { drawIndex, type Random } from "./random.ts";
@@ -215,12 +217,20 @@
     pick: (demand, options) => {
       const pool = pools.get(demand.service);
       if (pool === undefined) return undefined;
+      let best: Entry | undefined;
+      let bestLoad = Infinity;
       for (const dataCentre of config.dataCentres) {
         const members = pool.byDataCentre.get(dataCentre) ?? [];
         const entry = pickFrom(members, demand, options);
-        if (entry !== undefined) return entry.upstream;
+        if (entry === undefined) continue;
+        const load = loadOf(entry, options.now);
+        if (load + SPILL_MARGIN < bestLoad) {
+          best = entry;
+          bestLoad = load;
+        }
+        if (bestLoad < SPILL_LOAD) break;
       }
-      return undefined;
+      return best?.upstream;
     },
     begin: (id) => {
       const entry = entries.get(id);
--- a/packages/policy/src/work_queue.ts
+++ b/packages/policy/src/work_queue.ts
@@ -5,13 +5,10 @@
 /** A queued piece of work. */
 export interface QueueEntry {
   readonly work: Work;
-  readonly queuedAt: number;
 }
 
 /** How the next entry of a level is chosen. */
 export interface Choice {
-  /** Newest first, as opposed to oldest first. */
-  readonly newestFirst: boolean;
   /** How much of the slots a kind uses already; the smallest goes first. */
   readonly kindUse: (kind: string) => number;
   /** How much of the slots a caller uses already; the smallest goes first. */
@@ -38,8 +35,6 @@
   readonly chooseVictim: (choice: Choice) => QueueEntry | undefined;
   /** Removes and returns the entries whose deadline has passed. */
   readonly expire: (now: number) => readonly QueueEntry[];
-  /** Arrival time of the oldest entry. */
-  readonly oldestAt: () => number | undefined;
   readonly entries: () => Iterable<QueueEntry>;
 }
 
@@ -101,9 +96,7 @@
     entries: Iterable<QueueEntry>,
     choice: Choice,
   ): QueueEntry | undefined {
-    const list = [...entries];
-    if (choice.newestFirst) list.reverse();
-    return leastBy(list, (entry) => choice.callerUse(entry.work.caller));
+    return leastBy(entries, (entry) => choice.callerUse(entry.work.caller));
   }
 
   function chooseAt(level: number, choice: Choice): QueueEntry | undefined {
@@ -127,7 +120,7 @@
     for (const { work } of entries) {
       held.set(work.caller, (held.get(work.caller) ?? 0) + 1);
     }
-    if (!choice.newestFirst) entries.reverse();
+    entries.reverse();
     return leastBy(entries, ({ work }) => -(held.get(work.caller) ?? 0));
   }
 
@@ -167,7 +160,6 @@
       for (const entry of expired) remove(entry.work.id);
       return expired;
     },
-    oldestAt: () => byId.values().next().value?.queuedAt,
     entries: () => byId.values(),
   };
 }
