feat(policy): throttle kinds whose calls further down are refused

Cause: (1) at 10 times capacity 1516 of 1940 admitted certificate calls failed further down after holding a portal slot; (2) a graceful shutdown once cut a call: a client that had just connected was closed before its request came, found by the shutdown test. Change: (1) gates admit a share of such a kind that shrinks with its failures and grows back; (2) clients avoid a node that said it is leaving, new connections get a second to send, idle connections end before the listener does.

--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -240,6 +240,8 @@
     const jobs = new Map<string, Job>();
     const runningWork = new Map<string, Work>();
     const cancelling = new Set<string>();
+    /** Runs one of whose calls further down was refused. */
+    const starved = new Set<string>();
     const startedAt = new Map<number, number>();
     const slotTimes = createServiceTime();
     const parents = new Map<string, Parent>();
@@ -299,8 +301,9 @@
         };
         current = handle(child, (result) => {
           ledger.credit(run.runId, result.unspent);
-          if (result.outcome.kind === "answered") next();
-          else done(false);
+          if (result.outcome.kind === "answered") return next();
+          if (result.outcome.kind === "refused") starved.add(run.runId);
+          done(false);
         });
       }
       asProcess(next);
@@ -352,7 +355,8 @@
         suspects.clear(job.digest, now);
       }
       const shed = end.kind === "shed";
-      const actions = gate.finish(job.runId, { shed }, { now });
+      const finished = { shed, starved: starved.delete(job.runId) };
+      const actions = gate.finish(job.runId, finished, { now });
       switch (end.kind) {
         case "answered":
           finish(job, { kind: "answered" }, { rootId: end.rootId });
--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -101,6 +101,8 @@
 
 const TICKETS_IN_HAND = 4;
 const TICKET_USE_MS = 30_000;
+/** Time for which a node that is leaving is not called. */
+const AVOID_MS = 10_000;
 const NOT_SENT = new Set([
   "ECONNREFUSED",
   "EHOSTUNREACH",
@@ -135,6 +137,7 @@
   const ticketsInHand = config.ticketsInHand ?? TICKETS_IN_HAND;
   const ticketUseMs = config.ticketUseMs ?? TICKET_USE_MS;
   const tickets: HeldTicket[] = [];
+  const avoidUntil = new Map<string, number>();
   const identityHeaders: Record<string, string> = {
     "coltsfootdeal-account": config.identity.account,
     "coltsfootdeal-caller": config.identity.caller,
@@ -144,6 +147,22 @@
     identityHeaders["authorization"] = `Bearer ${token}`;
   }
 
+  /** Nodes in order of preference, those that are leaving last. */
+  function orderedNodes(): readonly string[] {
+    const now = performance.now();
+    const avoided = (node: string) => (avoidUntil.get(node) ?? 0) > now;
+    return [
+      ...config.nodes.filter((node) => !avoided(node)),
+      ...config.nodes.filter(avoided),
+    ];
+  }
+
+  function avoid(node: string): void {
+    avoidUntil.set(node, performance.now() + AVOID_MS);
+    const kept = tickets.filter((ticket) => ticket.node !== node);
+    tickets.splice(0, tickets.length, ...kept);
+  }
+
   async function fetchTickets(node: string): Promise<boolean> {
     try {
       const response = await agent.request({
@@ -169,7 +188,7 @@
       const ticket = tickets.shift();
       if (ticket && now - ticket.takenAt < ticketUseMs) return ticket;
     }
-    for (const node of config.nodes) {
+    for (const node of orderedNodes()) {
       if (await fetchTickets(node)) return tickets.shift();
     }
     return undefined;
@@ -242,7 +261,7 @@
     requestId: string,
   ): Promise<ClientOutcome> {
     const startedAt = performance.now();
-    for (const node of config.nodes) {
+    for (const node of orderedNodes()) {
       const deadlineMs = call.deadlineMs - (performance.now() - startedAt);
       if (deadlineMs <= 0) return refusal("deadline");
       const sent = await send(call, {
@@ -251,11 +270,15 @@
         attempt: 1,
         requestId,
       });
-      if (sent.kind === "unreachable") continue;
+      if (sent.kind === "unreachable") {
+        avoid(node);
+        continue;
+      }
       const { outcome } = sent;
       const away = outcome.kind === "refused" &&
         (outcome.reason === "leaving" || outcome.reason === "not_ready");
       if (!away) return outcome;
+      avoid(node);
     }
     return refusal("unreachable");
   }
@@ -284,16 +307,11 @@
       }
       // The ticket was never presented, or its home states that it did not
       // run the call: another ticket is as good.
-      dropTicketsOf(ticket.node);
+      avoid(ticket.node);
     }
     return refusal("unreachable");
   }
 
-  function dropTicketsOf(node: string): void {
-    const kept = tickets.filter((ticket) => ticket.node !== node);
-    tickets.splice(0, tickets.length, ...kept);
-  }
-
   function begin(call: ClientCall): PendingCall {
     const requestId = randomUUID();
     let held: HeldTicket | undefined;
--- a/packages/node/src/__tests__/harness.ts
+++ b/packages/node/src/__tests__/harness.ts
@@ -148,7 +148,6 @@
       const started = await startNode(settings, {
         clock: createSystemClock(),
         log: createSilentLog(),
-        drainQuietMs: 200,
       });
       const node = started._unsafeUnwrap();
       const controlAddress = node.controlAddress;
--- a/packages/node/src/chains.ts
+++ b/packages/node/src/chains.ts
@@ -17,6 +17,9 @@
   readonly find: (runId: string) => ChainParent | undefined;
   /** Registers a call further down; returns how to unregister it. */
   readonly attach: (runId: string, cancel: () => void) => () => void;
+  /** Records that a call further down was refused. */
+  readonly starve: (runId: string) => void;
+  readonly isStarved: (runId: string) => boolean;
   /** Ends a run and cancels the calls that it has not waited for. */
   readonly close: (runId: string) => void;
 }
@@ -24,6 +27,7 @@
 interface Entry {
   readonly parent: ChainParent;
   readonly children: Set<() => void>;
+  starved: boolean;
 }
 
 /** Creates an empty register. */
@@ -31,7 +35,7 @@
   const entries = new Map<string, Entry>();
   return {
     open: (runId, parent) => {
-      entries.set(runId, { parent, children: new Set() });
+      entries.set(runId, { parent, children: new Set(), starved: false });
     },
     find: (runId) => entries.get(runId)?.parent,
     attach: (runId, cancel) => {
@@ -41,6 +45,11 @@
         children?.delete(cancel);
       };
     },
+    starve: (runId) => {
+      const entry = entries.get(runId);
+      if (entry) entry.starved = true;
+    },
+    isStarved: (runId) => entries.get(runId)?.starved ?? false,
     close: (runId) => {
       const children = entries.get(runId)?.children ?? [];
       entries.delete(runId);
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -6,16 +6,20 @@
 export const HOUSEKEEPING_MS = 250;
 /** Time for which losses of a backend server's connections are gathered. */
 export const DEATH_WINDOW_MS = 50;
-/** Time for which a leaving node goes on refusing before it stops listening. */
-export const DRAIN_QUIET_MS = 3_000;
+/**
+ * Time for which a leaving node goes on refusing before it stops listening.
+ * Not below SERVER_KEEP_ALIVE_MS: by then no client holds an idle connection
+ * on which a request could be on its way.
+ */
+export const DRAIN_QUIET_MS = 5_000;
 /** Longest time to establish a connection. */
 export const CONNECT_TIMEOUT_MS = 500;
 /** Time to receive the headers of a request. */
 export const HEADERS_TIMEOUT_MS = 5_000;
 /** Time to receive a whole request. */
 export const REQUEST_TIMEOUT_MS = 30_000;
-/** Idle time after which a server closes a connection; above the client's. */
-export const SERVER_KEEP_ALIVE_MS = 65_000;
+/** Idle time after which a server closes a connection; clients are told it. */
+export const SERVER_KEEP_ALIVE_MS = 5_000;
 /** Idle time after which a client closes a connection. */
 export const CLIENT_KEEP_ALIVE_MS = 30_000;
 /** Wait of a watch on the platform. */
@@ -42,5 +46,7 @@
 export const LOCAL_PEERS = 8;
 /** Connections to other nodes' control listeners that are kept. */
 export const CONTROL_CLIENTS_MAX = 256;
+/** Time that a closing listener gives a new connection to send a request. */
+export const CLOSE_GRACE_MS = 1_000;
 /** Period in which a closing listener closes unused connections. */
 export const CLOSE_SWEEP_MS = 100;
--- a/packages/node/src/gate/gate.ts
+++ b/packages/node/src/gate/gate.ts
@@ -250,9 +250,12 @@
       case "ended": {
         const { job, end } = message;
         if (end.kind !== "lost") losses.ended(job.call.id);
-        reply(job, end);
         const shed = end.kind === "shed";
-        return perform(admission?.finish(job.call.id, { shed }, { now }) ?? []);
+        const starved = chains.isStarved(job.call.id);
+        reply(job, end);
+        return perform(
+          admission?.finish(job.call.id, { shed, starved }, { now }) ?? [],
+        );
       }
       case "abandoned": {
         const { job } = message;
--- a/packages/node/src/ingress/ingress.ts
+++ b/packages/node/src/ingress/ingress.ts
@@ -228,7 +228,10 @@
       const { signal } = abort;
       const { weight } = origin;
       const { answer, unspent } = await drive(call, whole, { signal, weight });
-      if (origin.parent !== undefined) ledger.credit(origin.parent, unspent);
+      if (origin.parent !== undefined) {
+        ledger.credit(origin.parent, unspent);
+        if (answer.outcome.kind === "refused") chains.starve(origin.parent);
+      }
       return answer;
     } finally {
       calls--;
--- a/packages/node/src/listener.ts
+++ b/packages/node/src/listener.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import {
+  CLOSE_GRACE_MS,
   CLOSE_SWEEP_MS,
   HEADERS_TIMEOUT_MS,
   REQUEST_TIMEOUT_MS,
@@ -39,21 +40,30 @@
  */
 function followConnections(server: Server): Connections {
   const requests = new Map<Socket, number>();
+  const quietSince = new Map<Socket, number>();
   server.on("connection", (socket) => {
     requests.set(socket, 0);
-    socket.once("close", () => requests.delete(socket));
+    quietSince.set(socket, performance.now());
+    socket.once("close", () => {
+      requests.delete(socket);
+      quietSince.delete(socket);
+    });
   });
   server.on("request", ({ socket }, response) => {
     requests.set(socket, (requests.get(socket) ?? 0) + 1);
     response.once("close", () => {
       const count = requests.get(socket);
-      if (count !== undefined) requests.set(socket, count - 1);
+      if (count === undefined) return;
+      requests.set(socket, count - 1);
+      quietSince.set(socket, performance.now());
     });
   });
   return {
     closeUnused: () => {
+      const before = performance.now() - CLOSE_GRACE_MS;
       for (const [socket, count] of requests) {
-        if (count === 0) socket.destroySoon();
+        const quiet = (quietSince.get(socket) ?? 0) <= before;
+        if (count === 0 && quiet) socket.destroySoon();
       }
     },
   };
--- a/packages/policy/src/__tests__/router_test.ts
+++ b/packages/policy/src/__tests__/router_test.ts
@@ -51,7 +51,11 @@
   router.report("up-1", { ...report, acceptLevel: 50 }, 0);
   expect(router.pick(DEMAND, { now: 1, random })?.id).toBe("up-2");
   const urgent = { service: "selos", level: PROTECTED_LEVEL };
-  expect(router.pick(urgent, { now: 1, random })?.id).toBe("up-1");
+  // Protected work is offered to a gate that refuses lesser work, too.
+  const demand = { ...urgent, exclude: new Set(["up-2"]) };
+  expect(router.pick(demand, { now: 1, random })?.id).toBe("up-1");
+  const lesser = { ...DEMAND, exclude: new Set(["up-2"]) };
+  expect(router.pick(lesser, { now: 1, random })).toBeUndefined();
 });
 
 test("only a bounded share of a service is ejected", () => {
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -11,6 +11,7 @@
 } from "./constants.ts";
 import { createLimit } from "./limit.ts";
 import { createServiceTime } from "./service_time.ts";
+import { createThrottle } from "./throttle.ts";
 import type { GateAction, Work } from "./work.ts";
 import { type Choice, createWorkQueue } from "./work_queue.ts";
 
@@ -31,6 +32,8 @@
 export interface Finish {
   /** Whether the backend server shed the call. */
   readonly shed: boolean;
+  /** Whether a call that it made further down was refused. */
+  readonly starved?: boolean;
 }
 
 /** Load of a gate, as it is reported on every answer. */
@@ -90,6 +93,7 @@
   const queue = createWorkQueue();
   const limit = createLimit(initial.slots);
   const times = createServiceTime();
+  const throttle = createThrottle();
   const runs = new Map<string, Run>();
   const kindRuns = new Map<string, number>();
   const callerRuns = new Map<string, number>();
@@ -232,6 +236,9 @@
     offer: (work, now) => {
       if (leaving) return [refuse(work, "leaving")];
       if (now >= work.deadlineAt) return [refuse(work, "deadline")];
+      if (!isProtected(work) && !throttle.admit(work.kind, now)) {
+        return [refuse(work, "overload")];
+      }
       const before = fill(now);
       const free = hasRoomFor(work) && queue.size() === 0;
       if (free) return [...before, start(work, now)];
@@ -246,6 +253,7 @@
       countUp(callerRuns, run.work.caller, -1);
       if (run.work.alone) aloneRuns--;
       limit.observe(sample, now);
+      throttle.observe(run.work.kind, finish.starved ?? false, now);
       if (!finish.shed && !run.cancelling) {
         times.observe(run.work.kind, now - run.startedAt);
       }
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -19,6 +19,15 @@
 /** Weight of a new sample in the service time average. */
 export const SERVICE_TIME_GAIN = 0.05;
 
+/** Period in which the throttle of a kind is adjusted. */
+export const THROTTLE_INTERVAL_MS = 100;
+/** Share of runs that may fail further down without a throttle. */
+export const THROTTLE_TOLERANCE = 0.05;
+/** Growth of the admitted share in a period without such failures. */
+export const THROTTLE_GROWTH = 1.6;
+/** Smallest share that is let through, to notice the end of the trouble. */
+export const THROTTLE_FLOOR = 0.05;
+
 /** Factor applied to the concurrency limit after a shed or a timeout. */
 export const LIMIT_BACKOFF = 0.9;
 /** Shortest time between two decreases of the limit. */
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -19,6 +19,7 @@
 export * from "./spread.ts";
 export * from "./subset.ts";
 export * from "./suspects.ts";
+export * from "./throttle.ts";
 export * from "./tickets.ts";
 export * from "./upstream.ts";
 export * from "./work.ts";
