feat(policy): poison calls in pairs, dead backend servers, hopeless entries

Cause: (1) two poisonous calls at once passed for a mass failure, so a third backend server died; (2) a gate whose backend server is down refuses at once, looks idle and attracts calls; (3) queue entries that can no longer finish were kept until their deadline and ended as unknown. Change: (1) a death while running alone after another death is conclusive; (2) a refusal as unreachable counts as a failure for ejection; (3) entries end when less than half their usual time is left.

--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -650,8 +650,9 @@
           watchHealth();
         }));
     }
-    tick();
-    watchHealth();
+    // Processes do not tick in step.
+    timeline.after(draw.unit() * TICK_MS, tick);
+    timeline.after(draw.unit() * HEALTH_MS, watchHealth);
 
     const self: Member = {
       id,
--- a/packages/bench/src/random.ts
+++ b/packages/bench/src/random.ts
@@ -1,5 +1,6 @@
 /** Seeded randomness of a measurement. */
 
+import { hashText } from "@coltsfootdeal/policy";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 
@@ -15,7 +16,8 @@
 
 /** Creates draws from a seed. */
 export function createDraw(seed: number): Draw {
-  const generator = xoroshiro128plus(seed);
+  // Small seeds side by side begin with similar draws.
+  const generator = xoroshiro128plus(hashText(`seed ${seed}`) | 0);
   const unit = () => uniformFloat64(generator);
   return {
     unit,
--- a/packages/policy/src/__tests__/suspects_test.ts
+++ b/packages/policy/src/__tests__/suspects_test.ts
@@ -32,6 +32,18 @@
   expect(suspects.suspicion("hot", 10)).toBe("alone");
 });
 
+test("two poisonous calls at once do not pass for a mass failure", () => {
+  const suspects = createSuspects();
+  suspects.record(death("a-1", 0, ["p", "innocent-1"]));
+  suspects.record(death("b-1", 1, ["q", "innocent-2"]));
+  expect(suspects.suspicion("p", 2)).toBe("alone");
+  suspects.record(death("a-2", 60, ["p"]));
+  suspects.record(death("b-2", 61, ["q"]));
+  expect(suspects.suspicion("p", 62)).toBe("quarantined");
+  expect(suspects.suspicion("q", 62)).toBe("quarantined");
+  expect(suspects.suspicion("innocent-1", 62)).toBe("clear");
+});
+
 test("suspicion ends", () => {
   const suspects = createSuspects();
   suspects.record(death("a", 0, ["x"]));
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -8,6 +8,7 @@
   QUEUE_ENTRIES_MIN,
   QUEUE_ENTRIES_PER_SLOT,
   QUEUE_WAIT_MS,
+  SHORTEST_SHARE,
 } from "./constants.ts";
 import { createLimit } from "./limit.ts";
 import { createServiceTime } from "./service_time.ts";
@@ -165,7 +166,8 @@
 
   function fill(now: number): GateAction[] {
     const actions: GateAction[] = [];
-    for (const { work } of queue.expire(now)) {
+    const shortest = (kind: string) => times.ofKind(kind) * SHORTEST_SHARE;
+    for (const { work } of queue.expire(now, shortest)) {
       actions.push(refuse(work, "deadline"));
     }
     for (;;) {
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -16,6 +16,8 @@
 export const QUEUE_ENTRIES_PER_SLOT = 4;
 /** Fewest queue entries a gate allows. */
 export const QUEUE_ENTRIES_MIN = 16;
+/** Shortest run of a kind, as a share of its average. */
+export const SHORTEST_SHARE = 0.5;
 /** Weight of a new sample in the service time average. */
 export const SERVICE_TIME_GAIN = 0.05;
 
--- a/packages/policy/src/dispatch.ts
+++ b/packages/policy/src/dispatch.ts
@@ -248,8 +248,11 @@
     switch (end.kind) {
       case "answered":
         return router.end(id, "success", options);
-      case "refused":
-        return router.end(id, "refused", options);
+      case "refused": {
+        // A gate whose backend server is down would otherwise look idle.
+        const down = end.reason === "unreachable";
+        return router.end(id, down ? "failure" : "refused", options);
+      }
       case "failed":
       case "unreachable":
       case "unknown":
--- a/packages/policy/src/suspects.ts
+++ b/packages/policy/src/suspects.ts
@@ -90,6 +90,10 @@
       const clearedAt = cleared.get(digest) ?? -Infinity;
       const open = all.filter((death) => death.at > clearedAt);
       if (open.length === 0) return "clear";
+      // A call that died once and then took a backend server with it while it
+      // ran alone is the cause, whatever else failed at the time.
+      const alone = open.some(({ digests }) => digests.length === 1);
+      if (alone && open.length >= SUSPECT_DEATHS_MAX) return "quarantined";
       const singled = open.filter((death) => !partOfMassFailure(death));
       if (singled.length >= SUSPECT_DEATHS_MAX) return "quarantined";
       // A call that was present at several deaths of a mass failure is
--- a/packages/policy/src/work_queue.ts
+++ b/packages/policy/src/work_queue.ts
@@ -33,8 +33,11 @@
   ) => QueueEntry | undefined;
   /** The entry to give up first: lowest level, greediest kind and caller. */
   readonly chooseVictim: (choice: Choice) => QueueEntry | undefined;
-  /** Removes and returns the entries whose deadline has passed. */
-  readonly expire: (now: number) => readonly QueueEntry[];
+  /** Removes and returns the entries that cannot finish in time. */
+  readonly expire: (
+    now: number,
+    timeOf: (kind: string) => number,
+  ) => readonly QueueEntry[];
   readonly entries: () => Iterable<QueueEntry>;
 }
 
@@ -152,10 +155,11 @@
       const bottom = levels.at(-1);
       return bottom === undefined ? undefined : victimAt(bottom, choice);
     },
-    expire: (now) => {
+    expire: (now, timeOf) => {
       const expired: QueueEntry[] = [];
       for (const entry of byId.values()) {
-        if (entry.work.deadlineAt <= now) expired.push(entry);
+        const { deadlineAt, kind } = entry.work;
+        if (deadlineAt <= now + timeOf(kind)) expired.push(entry);
       }
       for (const entry of expired) remove(entry.work.id);
       return expired;
