fix(policy): throttle requests only, and let starvation travel up the chain

Cause: a metastable state. After a surge at 5 times capacity the fleet went on failing certificate calls for 8.4 s at 80 % load: look-ups further down were throttled, which starved the runs that made them, which kept up the throttle of the same kind. Traced: all refusals in that time were the throttle's, relatorios stood at 50 % of its slots. Change: only callers' requests are throttled, never calls further down; a failure says whether a call further down was refused, up to the request.

--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -302,7 +302,10 @@
         current = handle(child, (result) => {
           ledger.credit(run.runId, result.unspent);
           if (result.outcome.kind === "answered") return next();
-          if (result.outcome.kind === "refused") starved.add(run.runId);
+          const { outcome } = result;
+          const refusedBelow = outcome.kind === "refused" ||
+            (outcome.kind === "failed" && outcome.starved);
+          if (refusedBelow) starved.add(run.runId);
           done(false);
         });
       }
@@ -355,14 +358,15 @@
         suspects.clear(job.digest, now);
       }
       const shed = end.kind === "shed";
-      const finished = { shed, starved: starved.delete(job.runId) };
+      const isStarved = starved.delete(job.runId);
+      const finished = { shed, starved: isStarved };
       const actions = gate.finish(job.runId, finished, { now });
       switch (end.kind) {
         case "answered":
           finish(job, { kind: "answered" }, { rootId: end.rootId });
           break;
         case "failed":
-          finish(job, { kind: "failed" });
+          finish(job, { kind: "failed", starved: isStarved });
           break;
         case "shed":
           finish(job, refused("shed"));
@@ -423,7 +427,7 @@
         : ledger.close(job.runId);
       const end: AttemptEnd = outcome.kind === "answered" ||
           outcome.kind === "failed"
-        ? { kind: outcome.kind, unspent }
+        ? { ...outcome, unspent }
         : outcome;
       const { rootId, death } = details;
       const slotMs = job.startedAt === undefined
--- a/packages/bench/src/plain_dispatcher.ts
+++ b/packages/bench/src/plain_dispatcher.ts
@@ -15,6 +15,8 @@
   upstream: string;
 }
 
+const FAILED: Outcome = { kind: "failed", starved: false };
+
 /** Creates a dispatcher that retries whatever is not answered. */
 export function createPlainDispatcher(
   router: Router,
@@ -44,18 +46,18 @@
     begin: (call, moment) => {
       const progress = { call, attempts: 0, upstream: "" };
       calls.set(call.id, progress);
-      return attempt(progress, { kind: "failed" }, moment);
+      return attempt(progress, FAILED, moment);
     },
-    resume: (id) => finish(id, { kind: "failed" }),
+    resume: (id) => finish(id, FAILED),
     settle: (id, end, options) => {
       const progress = calls.get(id);
-      if (progress === undefined) return finish(id, { kind: "failed" });
+      if (progress === undefined) return finish(id, FAILED);
       router.end(progress.upstream, "success", options);
       if (end.kind === "answered") return finish(id, { kind: "answered" });
       const last: Outcome = end.kind === "unreachable"
         ? { kind: "unknown", reason: "connection_lost" }
         : end.kind === "failed"
-        ? { kind: "failed" }
+        ? FAILED
         : end;
       return attempt(progress, last, options);
     },
--- a/packages/node/src/gate/gate.ts
+++ b/packages/node/src/gate/gate.ts
@@ -10,6 +10,7 @@
   type GateAction,
   type GateLoad,
   type Ledger,
+  type Outcome,
   refused,
   unknown,
   type Work,
@@ -215,8 +216,11 @@
       case "response": {
         if (job.call.alone) config.onHarmless(job.call.digest);
         const { status, contentType, body } = end;
-        const kind = status >= 500 ? "failed" : "answered";
-        return finish(job, { outcome: { kind }, status, contentType, body });
+        const starved = chains.isStarved(job.call.id);
+        const outcome: Outcome = status >= 500
+          ? { kind: "failed", starved }
+          : { kind: "answered" };
+        return finish(job, { outcome, status, contentType, body });
       }
       case "shed":
         return finish(job, bareAnswer(refused("shed")));
--- a/packages/node/src/headers.ts
+++ b/packages/node/src/headers.ts
@@ -30,6 +30,9 @@
   death: "coltsfootdeal-death",
 } as const;
 
+/** Reason of a failure after a call further down was refused. */
+export const STARVED = "starved";
+
 /** Reads a whole number from a header; undefined if it is none. */
 export function readWholeNumber(
   text: string | null | undefined,
@@ -63,8 +66,12 @@
 export function outcomeHeaders(outcome: Outcome): Record<string, string> {
   switch (outcome.kind) {
     case "answered":
-    case "failed":
       return { [HEADER.outcome]: outcome.kind };
+    case "failed":
+      return {
+        [HEADER.outcome]: outcome.kind,
+        ...(outcome.starved ? { [HEADER.reason]: STARVED } : {}),
+      };
     case "unknown":
       return {
         [HEADER.outcome]: outcome.kind,
--- a/packages/node/src/ingress/forwarder.ts
+++ b/packages/node/src/ingress/forwarder.ts
@@ -13,7 +13,7 @@
 } from "@coltsfootdeal/policy";
 import type { Answer } from "../answer.ts";
 import type { Gate, GateReply } from "../gate/gate.ts";
-import { HEADER, parseLoad, readWholeNumber } from "../headers.ts";
+import { HEADER, parseLoad, readWholeNumber, STARVED } from "../headers.ts";
 import type { ExchangeEnd, HttpClient } from "../http_client.ts";
 import type { Forward, ForwardEnd } from "./ingress.ts";
 
@@ -41,7 +41,7 @@
   switch (outcome.kind) {
     case "answered":
     case "failed":
-      return { kind: outcome.kind, unspent };
+      return { ...outcome, unspent };
     case "refused":
     case "unknown":
       return outcome;
@@ -57,7 +57,7 @@
     case "answered":
       return { kind: "answered" };
     case "failed":
-      return { kind: "failed" };
+      return { kind: "failed", starved: reason === STARVED };
     case "refused": {
       const retryAfterMs = readWholeNumber(headers[HEADER.retryAfter]) ?? 0;
       return refused(reason as RefusalReason, retryAfterMs);
--- a/packages/node/src/ingress/ingress.ts
+++ b/packages/node/src/ingress/ingress.ts
@@ -12,6 +12,7 @@
   type Death,
   type Ledger,
   type Moment,
+  type Outcome,
   refused,
   resolveChildLevel,
   type Router,
@@ -86,6 +87,19 @@
   readonly parent: string | undefined;
 }
 
+/** Whether an outcome shows overload further down. */
+function isStarving(outcome: Outcome): boolean {
+  switch (outcome.kind) {
+    case "refused":
+      return true;
+    case "failed":
+      return outcome.starved;
+    case "answered":
+    case "unknown":
+      return false;
+  }
+}
+
 /** Creates an ingress. */
 export function createIngress(config: IngressConfig): Ingress {
   const { clock, ledger, chains } = config;
@@ -230,7 +244,7 @@
       const { answer, unspent } = await drive(call, whole, { signal, weight });
       if (origin.parent !== undefined) {
         ledger.credit(origin.parent, unspent);
-        if (answer.outcome.kind === "refused") chains.starve(origin.parent);
+        if (isStarving(answer.outcome)) chains.starve(origin.parent);
       }
       return answer;
     } finally {
--- a/packages/policy/src/__tests__/dispatch_test.ts
+++ b/packages/policy/src/__tests__/dispatch_test.ts
@@ -30,7 +30,7 @@
 }
 
 const END: fc.Arbitrary<AttemptEnd> = fc.constantFrom<AttemptEnd[]>(
-  { kind: "failed", unspent: 0 },
+  { kind: "failed", unspent: 0, starved: false },
   { kind: "refused", reason: "overload", retryAfterMs: 1 },
   { kind: "unreachable" },
   { kind: "unknown", reason: "connection_lost" },
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -11,6 +11,7 @@
   QUEUE_WAIT_MS,
   SHORTEST_SHARE,
 } from "./constants.ts";
+import { isRequestLevel } from "./level.ts";
 import { createLimit } from "./limit.ts";
 import { createServiceTime } from "./service_time.ts";
 import { createThrottle } from "./throttle.ts";
@@ -90,6 +91,14 @@
   return work.level >= PROTECTED_LEVEL;
 }
 
+/**
+ * Calls further down are never throttled: their refusal would starve the run
+ * that makes them, and so keep up the throttle that refused them.
+ */
+function isThrottled(work: Work): boolean {
+  return !isProtected(work) && isRequestLevel(work.level);
+}
+
 /** Creates the gate of an idle backend server. */
 export function createAdmission(initial: AdmissionConfig): Admission {
   let config = initial;
@@ -249,7 +258,7 @@
     offer: (work, now) => {
       if (leaving) return [refuse(work, "leaving", now)];
       if (now >= work.deadlineAt) return [refuse(work, "deadline", now)];
-      if (!isProtected(work) && !throttle.admit(work.kind, now)) {
+      if (isThrottled(work) && !throttle.admit(work.kind, now)) {
         return [refuse(work, "overload", now)];
       }
       const before = fill(now);
@@ -266,7 +275,9 @@
       countUp(callerRuns, run.work.caller, -1);
       if (run.work.alone) aloneRuns--;
       limit.observe(sample, now);
-      throttle.observe(run.work.kind, finish.starved ?? false, now);
+      if (isThrottled(run.work)) {
+        throttle.observe(run.work.kind, finish.starved ?? false, now);
+      }
       if (!finish.shed && !run.cancelling) {
         times.observe(run.work.kind, now - run.startedAt);
       }
--- a/packages/policy/src/dispatch.ts
+++ b/packages/policy/src/dispatch.ts
@@ -41,7 +41,12 @@
 /** How an attempt ended. */
 export type AttemptEnd =
   | { readonly kind: "answered"; readonly unspent: number }
-  | { readonly kind: "failed"; readonly unspent: number }
+  | {
+    readonly kind: "failed";
+    readonly unspent: number;
+    /** Whether a call further down was refused. */
+    readonly starved: boolean;
+  }
   | {
     readonly kind: "refused";
     readonly reason: RefusalReason;
@@ -211,10 +216,12 @@
       case "answered":
         ledger.credit(call.id, end.unspent);
         return finish(progress, { kind: "answered" });
-      case "failed":
+      case "failed": {
         ledger.credit(call.id, end.unspent);
-        if (!call.idempotent) return finish(progress, { kind: "failed" });
-        return retry(progress, { kind: "failed" }, moment);
+        const failed: Outcome = { kind: "failed", starved: end.starved };
+        if (!call.idempotent) return finish(progress, failed);
+        return retry(progress, failed, moment);
+      }
       case "refused":
         return afterRefusal(
           progress,
--- a/packages/policy/src/level.ts
+++ b/packages/policy/src/level.ts
@@ -48,3 +48,8 @@
 export function resolveChildLevel(parent: number, own: number): number {
   return Math.max(parent, own) + 1;
 }
+
+/** Whether a level is that of a caller's request, not of a call further down. */
+export function isRequestLevel(level: number): boolean {
+  return level % LEVELS_PER_RANK === 0;
+}
--- a/packages/policy/src/outcome.ts
+++ b/packages/policy/src/outcome.ts
@@ -39,7 +39,11 @@
     readonly retryAfterMs: number;
   }
   | { readonly kind: "unknown"; readonly reason: UnknownReason }
-  | { readonly kind: "failed" };
+  | {
+    readonly kind: "failed";
+    /** Whether a call further down was refused. */
+    readonly starved: boolean;
+  };
 
 /** Builds the outcome of a call that was not run. */
 export function refused(reason: RefusalReason, retryAfterMs = 0): Outcome {
