--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -1,5 +1,6 @@
 /** What the slots could have answered at most: a small linear programme. */
 
+import { levelOf } from "@coltsfootdeal/bundle";
 import solver from "javascript-lp-solver";
 import { LOCAL_LATENCY_MS } from "./constants.ts";
 import type { CallTree, RootKind, Workload } from "./workload.ts";
@@ -55,14 +56,27 @@
   return 1_000 / worst;
 }
 
-/** Weighted goodput that the slots allow for what was offered. */
-export function bestGoodput(
+/** What the best use of the slots is computed for. */
+export interface CapacityOptions {
+  readonly windowMs: number;
+  readonly slowdown: Slowdown;
+}
+
+type Variables = Record<string, Record<string, number>>;
+type Constraints = Record<string, { max?: number; min?: number }>;
+
+interface Programme {
+  readonly constraints: Constraints;
+  readonly variables: Variables;
+}
+
+function buildProgramme(
   workload: Workload,
   offered: ReadonlyMap<string, number>,
-  options: { readonly windowMs: number; readonly slowdown: Slowdown },
-): number {
-  const constraints: Record<string, { max: number }> = {};
-  const variables: Record<string, Record<string, number>> = {};
+  options: CapacityOptions,
+): Programme {
+  const constraints: Constraints = {};
+  const variables: Variables = {};
   for (const { name } of workload.services) {
     constraints[`slots ${name}`] = {
       max: slotsOf(workload, name) * options.windowMs,
@@ -72,13 +86,49 @@
     constraints[`offered ${root.name}`] = { max: offered.get(root.name) ?? 0 };
     variables[root.name] = variableOf(root, workload, options.slowdown);
   }
-  const result = api.Solve({
-    optimize: "worth",
-    opType: "max",
-    constraints,
-    variables,
-  });
-  return result.result ?? 0;
+  return { constraints, variables };
+}
+
+function maximise(programme: Programme, goal: string): number {
+  const { constraints, variables } = programme;
+  const model = { optimize: goal, opType: "max", constraints, variables };
+  return api.Solve(model).result ?? 0;
+}
+
+/** Weighted goodput that the slots allow for what was offered. */
+export function bestGoodput(
+  workload: Workload,
+  offered: ReadonlyMap<string, number>,
+  options: CapacityOptions,
+): number {
+  return maximise(buildProgramme(workload, offered, options), "worth");
+}
+
+/**
+ * The same where services are ordered by rank: each rank takes what it can
+ * before the next one, whatever it is worth.
+ */
+export function bestRankedGoodput(
+  workload: Workload,
+  offered: ReadonlyMap<string, number>,
+  options: CapacityOptions,
+): number {
+  const byRank = workload.catalog.services().every((s) => s.order === "rank");
+  if (!byRank) return bestGoodput(workload, offered, options);
+  const { constraints, variables } = buildProgramme(workload, offered, options);
+  const context = { catalog: workload.catalog, slotMs: 0 };
+  const ordered = [...workload.roots].sort((a, b) =>
+    levelOf(b.tree.kind, context) - levelOf(a.tree.kind, context)
+  );
+  let goodput = 0;
+  for (const { name, tree } of ordered) {
+    const goal = `offered ${name}`;
+    const most = maximise({ constraints, variables }, `count ${name}`);
+    // A trace less, so that rounding does not make it infeasible.
+    constraints[goal] = { max: most, min: most * (1 - 1e-9) };
+    goodput += most * tree.kind.weight;
+  }
+  return goodput;
 }
 
 function variableOf(
@@ -89,6 +139,7 @@
   const variable: Record<string, number> = {
     worth: root.tree.kind.weight,
     [`offered ${root.name}`]: 1,
+    [`count ${root.name}`]: 1,
   };
   const times = slotTimeOf(root.tree, workload, { slowdown });
   for (const [service, time] of times) variable[`slots ${service}`] = time;
--- a/packages/bench/src/run_scenario.ts
+++ b/packages/bench/src/run_scenario.ts
@@ -1,6 +1,6 @@
 /** Runs one scenario in virtual time and measures it. */
 
-import { bestGoodput, fullRate } from "./capacity.ts";
+import { bestGoodput, bestRankedGoodput, fullRate } from "./capacity.ts";
 import { createCallers, type RequestRecord } from "./callers.ts";
 import { CALM_LOAD, RECOVERED_SHARE, RECOVERY_WINDOW_MS } from "./constants.ts";
 import { createTruth, type Truth } from "./fake_backend.ts";
@@ -37,6 +37,8 @@
   /** The most that the slots could have answered, weighted, a second. */
   readonly capacity: number;
   readonly goodputRatio: number;
+  /** The same against what is possible where rank goes before worth. */
+  readonly rankedRatio: number;
   readonly recoveryMs: number | null;
   readonly rankInversions: number;
   readonly protectedAnsweredRatio: number;
@@ -245,7 +247,7 @@
   session: Session,
   disturbances: readonly Disturbance[],
   options: RunOptions,
-): number {
+): { readonly best: number; readonly ranked: number } {
   const { workload } = options;
   const offered = new Map<string, number>();
   for (const request of session.requests) {
@@ -255,8 +257,12 @@
   }
   const windowMs = session.to - session.from;
   const slowdown = slowdownOf(disturbances, workload);
-  const best = bestGoodput(workload, offered, { windowMs, slowdown });
-  return best / (windowMs / 1_000);
+  const capacity = { windowMs, slowdown };
+  const seconds = windowMs / 1_000;
+  return {
+    best: bestGoodput(workload, offered, capacity) / seconds,
+    ranked: bestRankedGoodput(workload, offered, capacity) / seconds,
+  };
 }
 
 /** What the kinds that do not flood keep of their unflooded goodput. */
@@ -316,8 +322,9 @@
     sent: requests.length,
     answeredWhole: requests.filter((r) => r.answeredAt !== undefined).length,
     goodput,
-    capacity,
-    goodputRatio: goodput / capacity,
+    capacity: capacity.best,
+    goodputRatio: goodput / capacity.best,
+    rankedRatio: goodput / capacity.ranked,
     recoveryMs: recoveryOf(session),
     rankInversions: session.rankInversions,
     protectedAnsweredRatio: answeredShare(requests, isProtected),
--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -18,6 +18,7 @@
   { title: "variant", width: 14, text: (r) => r.variant },
   { title: "load", width: 5, text: (r) => String(r.overload) },
   { title: "goodput", width: 8, text: (r) => ratio(r.goodputRatio) },
+  { title: "ranked", width: 7, text: (r) => ratio(r.rankedRatio) },
   {
     title: "recovery",
     width: 9,
