feat(policy): the throttle grows slowly at its edge, fast when all is calm

Cause: growth by 1.6 a period overshot again and again: 1048 certificate calls failed further down in 10 s of surge at 10 times capacity. Change: growth 1.1 a period, 2 from the third calm period on; floor 0.02.

--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -28,9 +28,13 @@
 /** Share of runs that may fail further down without a throttle. */
 export const THROTTLE_TOLERANCE = 0.05;
 /** Growth of the admitted share in a period without such failures. */
-export const THROTTLE_GROWTH = 1.6;
+export const THROTTLE_GROWTH = 1.1;
+/** Periods in a row without such failures after which growth is faster. */
+export const THROTTLE_CALM_PERIODS = 3;
+/** Growth of the admitted share in a calm period. */
+export const THROTTLE_CALM_GROWTH = 2;
 /** Smallest share that is let through, to notice the end of the trouble. */
-export const THROTTLE_FLOOR = 0.05;
+export const THROTTLE_FLOOR = 0.02;
 
 /** Factor applied to the concurrency limit after a shed or a timeout. */
 export const LIMIT_BACKOFF = 0.9;
--- a/packages/policy/src/throttle.ts
+++ b/packages/policy/src/throttle.ts
@@ -4,6 +4,8 @@
  */
 
 import {
+  THROTTLE_CALM_GROWTH,
+  THROTTLE_CALM_PERIODS,
   THROTTLE_FLOOR,
   THROTTLE_GROWTH,
   THROTTLE_INTERVAL_MS,
@@ -25,14 +27,22 @@
   finished: number;
   starved: number;
   since: number;
+  /** Periods in a row without failures further down. */
+  calmPeriods: number;
 }
 
 function adjust(gauge: Gauge, now: number): void {
   if (now - gauge.since < THROTTLE_INTERVAL_MS) return;
   const ratio = gauge.finished === 0 ? 0 : gauge.starved / gauge.finished;
-  gauge.share = ratio > THROTTLE_TOLERANCE
-    ? Math.max(THROTTLE_FLOOR, gauge.share * (1 - ratio))
-    : Math.min(1, gauge.share * THROTTLE_GROWTH);
+  if (ratio > THROTTLE_TOLERANCE) {
+    gauge.share = Math.max(THROTTLE_FLOOR, gauge.share * (1 - ratio));
+    gauge.calmPeriods = 0;
+  } else {
+    gauge.calmPeriods++;
+    const calm = gauge.calmPeriods >= THROTTLE_CALM_PERIODS;
+    const growth = calm ? THROTTLE_CALM_GROWTH : THROTTLE_GROWTH;
+    gauge.share = Math.min(1, gauge.share * growth);
+  }
   gauge.finished = 0;
   gauge.starved = 0;
   gauge.since = now;
@@ -56,7 +66,14 @@
       const known = gauges.get(kind);
       if (known === undefined && !starved) return;
       const gauge = known ??
-        { share: 1, credit: 0, finished: 0, starved: 0, since: now };
+        {
+          share: 1,
+          credit: 0,
+          finished: 0,
+          starved: 0,
+          since: now,
+          calmPeriods: 0,
+        };
       gauges.set(kind, gauge);
       gauge.finished++;
       if (starved) gauge.starved++;
