feat(policy): plan for the longest run, not the average one

Cause: when selos slowed down 10 times, protected seal checks waited so long that 670 of 1547 ended past their deadline while they ran. Change: work is queued only if wait and one and a half usual runs fit.

--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -5,6 +5,7 @@
 
 import {
   FLOOR_SUSPENSION_MS,
+  LONGEST_SHARE,
   PROTECTED_LEVEL,
   QUEUE_ENTRIES_MIN,
   QUEUE_ENTRIES_PER_SLOT,
@@ -214,7 +215,8 @@
   function fits(work: Work, now: number): boolean {
     const wait = waitFrom(work.level);
     if (!isProtected(work) && wait > queueWaitMs) return false;
-    return now + wait + times.ofKind(work.kind) <= work.deadlineAt;
+    const run = times.ofKind(work.kind) * LONGEST_SHARE;
+    return now + wait + run <= work.deadlineAt;
   }
 
   /** Makes room in a full queue at the cost of less important work. */
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -18,6 +18,8 @@
 export const QUEUE_ENTRIES_MIN = 16;
 /** Time for which floors are suspended after protected work was refused. */
 export const FLOOR_SUSPENSION_MS = 1_000;
+/** Longest run of a kind that is planned for, as a share of its average. */
+export const LONGEST_SHARE = 1.5;
 /** Shortest run of a kind, as a share of its average. */
 export const SHORTEST_SHARE = 0.5;
 /** Weight of a new sample in the service time average. */
