--- a/packages/bench/src/callers.ts
+++ b/packages/bench/src/callers.ts
@@ -33,6 +33,8 @@
   readonly truth: Truth;
   /** Requests a second of a root kind at present. */
   readonly rateOf: (root: RootKind) => number;
+  /** Whether requests fail at the end of their chains at present. */
+  readonly failing: () => boolean;
   /** Times that a caller sends again at once. */
   readonly resends: () => number;
 }
@@ -114,7 +116,7 @@
         caller: sending.caller,
         resend: attempt > 1,
         poison,
-        failing: false,
+        failing: config.failing(),
         tree,
         parentLevel: undefined,
         weight: tree.kind.weight,
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,6 +3,9 @@
 
 import process from "node:process";
 import { parseArgs } from "node:util";
+import { measureSlopes } from "./capacity_slopes.ts";
+import { DISTRIBUTION_SIZES, runDistribution } from "./distribution.ts";
+import { measureNodeCost } from "./node_cost.ts";
 import { runScenario } from "./run_scenario.ts";
 import { SCENARIOS } from "./scenarios.ts";
 import { formatHeader, formatRow } from "./table.ts";
@@ -18,7 +21,11 @@
   --seed N           seed of the run (default: 1)
   --pressure-ms N    length of the pressure (default: 30000)
   --json             one JSON object a line
-  --list             list the scenarios`;
+  --list             list the scenarios
+
+  --scenario distribution  spread of news over growing fleets
+  --scenario node          time added by real nodes on loopback
+  capacity                 slopes for docs/CAPACITY.md`;
 
 function fail(message: string): never {
   process.stderr.write(`${message}\n`);
@@ -28,6 +35,7 @@
 function parse() {
   try {
     return parseArgs({
+      allowPositionals: true,
       options: {
         scenario: { type: "string" },
         deployment: { type: "string" },
@@ -39,7 +47,7 @@
         list: { type: "boolean", default: false },
         help: { type: "boolean", default: false },
       },
-    }).values;
+    });
   } catch (error) {
     return fail(`${(error as Error).message}\n${USAGE}`);
   }
@@ -66,11 +74,35 @@
     : fail(`${name}: expected one of ${known}, all`);
 }
 
-function main(): void {
-  const values = parse();
+/** Prints a result of another shape than the scenarios'. */
+function print(result: object): void {
+  process.stdout.write(`${JSON.stringify(result)}\n`);
+}
+
+function measureDistribution(seed: number): void {
+  for (const members of DISTRIBUTION_SIZES) {
+    const dataCentres = members >= 576 ? 9 : 3;
+    for (const loss of [0, 0.1]) {
+      print(runDistribution({ members, dataCentres, loss, seed }));
+    }
+  }
+}
+
+async function main(): Promise<void> {
+  const { values, positionals } = parse();
   if (values.help) return void process.stdout.write(`${USAGE}\n`);
   if (values.list) {
-    return void process.stdout.write(`${SCENARIOS.join("\n")}\n`);
+    const names = [...SCENARIOS, "distribution", "node"];
+    return void process.stdout.write(`${names.join("\n")}\n`);
+  }
+  const [command] = positionals;
+  if (command === "capacity") return (await measureSlopes()).forEach(print);
+  if (command !== undefined) return fail(`${command}: expected capacity`);
+  if (values.scenario === "distribution") {
+    return measureDistribution(positive(values.seed, "seed"));
+  }
+  if (values.scenario === "node") {
+    return print(await measureNodeCost({ callsPerSecond: 500, seconds: 10 }));
   }
   const workloads: readonly Workload[] = choose(
     [createSeloVerde(), createMalabar()],
@@ -104,4 +136,4 @@
   }
 }
 
-main();
+await main();
--- a/packages/bench/src/run_scenario.ts
+++ b/packages/bench/src/run_scenario.ts
@@ -131,6 +131,7 @@
       const factor = underPressure() ? factors.get(root.name) ?? 1 : 1;
       return CALM_LOAD * full * root.share * factor;
     },
+    failing: () => underPressure() && disturbances.some((d) => d.failing),
     resends: () => underPressure() ? resends : 0,
   });
   const stage = {
@@ -300,10 +301,15 @@
 }
 
 /** Runs a scenario; undefined if there is none of that name. */
-export function runScenario(options: RunOptions): RunResult | undefined {
-  const draw = createDraw(options.seed);
-  const disturbances = resolveScenario(options.scenario, draw);
+export function runScenario(given: RunOptions): RunResult | undefined {
+  const draw = createDraw(given.seed);
+  const disturbances = resolveScenario(given.scenario, draw);
   if (disturbances === undefined) return undefined;
+  const workload = disturbances.reduce(
+    (prepared, { prepare }) => prepare?.(prepared) ?? prepared,
+    given.workload,
+  );
+  const options = { ...given, workload };
   const session = runSession(options, disturbances);
   const { requests, truth, from, to } = session;
   const seconds = (to - from) / 1_000;
--- a/packages/bench/src/scenarios.ts
+++ b/packages/bench/src/scenarios.ts
@@ -5,7 +5,7 @@
 import { CALM_LOAD } from "./constants.ts";
 import type { SimulatedFleet, SimulatedNode } from "./fleet.ts";
 import type { Timeline } from "./timeline.ts";
-import type { RootKind, Workload } from "./workload.ts";
+import { deepen, type RootKind, type Workload } from "./workload.ts";
 
 /** What a disturbance works on. */
 export interface Stage {
@@ -34,6 +34,10 @@
   readonly slowdown?: (
     workload: Workload,
   ) => ReadonlyMap<string, number>;
+  /** Whether everything fails at the end of its chain. */
+  readonly failing?: boolean;
+  /** The workload that the scenario runs on. */
+  readonly prepare?: (workload: Workload) => Workload;
   /** The kind that floods, if one does. */
   readonly flood?: (workload: Workload) => string;
 }
@@ -152,6 +156,7 @@
   { name: "poison", begin: poisonSome },
   { name: "pause", begin: pauseSome },
   { name: "partition", begin: cutDataCentres },
+  { name: "chain-failing", failing: true, prepare: deepen },
 ];
 
 /** Names of all scenarios. */
@@ -169,7 +174,9 @@
     const found = DISTURBANCES.find((disturbance) => disturbance.name === name);
     return found === undefined ? undefined : [found];
   }
-  const candidates = DISTURBANCES.filter(({ name }) => name !== "steady");
+  const candidates = DISTURBANCES.filter(({ name }) =>
+    name !== "steady" && name !== "chain-failing"
+  );
   const first = candidates[draw.below(candidates.length)];
   const second = candidates[draw.below(candidates.length)];
   if (first === undefined || second === undefined) return undefined;
--- a/packages/bench/src/workload.ts
+++ b/packages/bench/src/workload.ts
@@ -195,6 +195,37 @@
   });
 }
 
+/** Depth of the chains of a deepened workload. */
+const DEEP = 10;
+/** Service time in a deepened workload, in ms. */
+const DEEP_SERVICE_MS = 5;
+
+/** The same services with one kind of request only, ten calls deep. */
+export function deepen(workload: Workload): Workload {
+  const root = workload.roots.find(({ tree }) => tree.children.length > 0);
+  if (root === undefined) return workload;
+  const links: CallTree[] = [];
+  for (
+    let call: CallTree | undefined = root.tree;
+    call;
+    [call] = call.children
+  ) {
+    links.push(call);
+  }
+  let tree: CallTree | undefined;
+  for (let depth = DEEP - 1; depth >= 0; depth--) {
+    const link = links[depth % links.length] ?? root.tree;
+    tree = { ...link, depth, children: tree === undefined ? [] : [tree] };
+  }
+  const services = workload.services.map((service) => ({
+    ...service,
+    serviceMs: DEEP_SERVICE_MS,
+  }));
+  // A hundredth of what the slots could take: the chain alone is of interest.
+  const roots = [{ ...root, tree: tree ?? root.tree, share: 0.01 }];
+  return { ...workload, services, roots };
+}
+
 /** The workload with the given name. */
 export function findWorkload(name: string): Workload | undefined {
   return [createSeloVerde(), createMalabar()].find((w) => w.name === name);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -79,6 +79,8 @@
   readonly controlAddress: string;
   readonly readiness: () => Readiness;
   readonly status: () => NodeStatus;
+  /** Number of instances that the node knows. */
+  readonly knownInstances: () => number;
   /** Says that it is leaving, finishes what is in flight, and closes. */
   readonly drain: () => Promise<void>;
   /** Ends at once, as when the process is killed. */
@@ -351,6 +353,7 @@
     controlAddress: formatAddress(control.address),
     readiness,
     status,
+    knownInstances: () => agent.status().instances,
     drain: async () => {
       audit.record("draining");
       await beginLeaving();
