--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -359,7 +359,8 @@
       }
       const shed = end.kind === "shed";
       const isStarved = starved.delete(job.runId);
-      const finished = { shed, starved: isStarved };
+      const nested = job.call.tree.children.length > 0;
+      const finished = { shed, starved: isStarved, nested };
       const actions = gate.finish(job.runId, finished, { now });
       switch (end.kind) {
         case "answered":
--- a/packages/node/src/chains.ts
+++ b/packages/node/src/chains.ts
@@ -20,6 +20,8 @@
   /** Records that a call further down was refused. */
   readonly starve: (runId: string) => void;
   readonly isStarved: (runId: string) => boolean;
+  /** Whether a run has made calls further down. */
+  readonly isNested: (runId: string) => boolean;
   /** Ends a run and cancels the calls that it has not waited for. */
   readonly close: (runId: string) => void;
 }
@@ -28,6 +30,7 @@
   readonly parent: ChainParent;
   readonly children: Set<() => void>;
   starved: boolean;
+  nested: boolean;
 }
 
 /** Creates an empty register. */
@@ -35,12 +38,19 @@
   const entries = new Map<string, Entry>();
   return {
     open: (runId, parent) => {
-      entries.set(runId, { parent, children: new Set(), starved: false });
+      entries.set(runId, {
+        parent,
+        children: new Set(),
+        starved: false,
+        nested: false,
+      });
     },
     find: (runId) => entries.get(runId)?.parent,
     attach: (runId, cancel) => {
-      const children = entries.get(runId)?.children;
+      const entry = entries.get(runId);
+      const children = entry?.children;
       children?.add(cancel);
+      if (entry) entry.nested = true;
       return () => {
         children?.delete(cancel);
       };
@@ -50,6 +60,7 @@
       if (entry) entry.starved = true;
     },
     isStarved: (runId) => entries.get(runId)?.starved ?? false,
+    isNested: (runId) => entries.get(runId)?.nested ?? false,
     close: (runId) => {
       const children = entries.get(runId)?.children ?? [];
       entries.delete(runId);
--- a/packages/node/src/gate/gate.ts
+++ b/packages/node/src/gate/gate.ts
@@ -256,9 +256,11 @@
         if (end.kind !== "lost") losses.ended(job.call.id);
         const shed = end.kind === "shed";
         const starved = chains.isStarved(job.call.id);
+        const nested = chains.isNested(job.call.id);
         reply(job, end);
+        const finished = { shed, starved, nested };
         return perform(
-          admission?.finish(job.call.id, { shed, starved }, { now }) ?? [],
+          admission?.finish(job.call.id, finished, { now }) ?? [],
         );
       }
       case "abandoned": {
--- a/packages/policy/src/__tests__/admission_test.ts
+++ b/packages/policy/src/__tests__/admission_test.ts
@@ -231,3 +231,19 @@
   expect(cancels).toBe(1);
   expect(refusals).toBeGreaterThan(0);
 });
+
+test("runs that wait for calls further down leave them a slot", () => {
+  const gate = createAdmission({ slots: 4, floors: new Map() });
+  const outer = (id: string) => createWork(id, { kind: "outer", level: 16 });
+  const inner = (id: string) => createWork(id, { kind: "inner", level: 17 });
+  gate.offer(outer("first"), 0);
+  gate.offer(inner("seen"), 0);
+  gate.finish("seen", { shed: false }, { now: 1 });
+  gate.finish("first", { shed: false, nested: true }, { now: 1 });
+  const ids = ["a", "b", "c", "d", "e"];
+  const started = ids.flatMap((id) => gate.offer(outer(id), 2))
+    .filter(({ kind }) => kind === "run");
+  // Found by chain-failing: all slots were held by runs waiting for one.
+  expect(started.map(({ work }) => work.id)).toEqual(["a", "b", "c"]);
+  expect(gate.offer(inner("child"), 3)[0]?.kind).toBe("run");
+});
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -12,7 +12,8 @@
   QUEUE_WAIT_MS,
   SHORTEST_SHARE,
 } from "./constants.ts";
-import { isRequestLevel } from "./level.ts";
+import { depthOf, isRequestLevel } from "./level.ts";
+import { createNesting } from "./nesting.ts";
 import { createLimit } from "./limit.ts";
 import { createServiceTime } from "./service_time.ts";
 import { createThrottle } from "./throttle.ts";
@@ -38,6 +39,8 @@
   readonly shed: boolean;
   /** Whether a call that it made further down was refused. */
   readonly starved?: boolean;
+  /** Whether it made calls further down. */
+  readonly nested?: boolean;
 }
 
 /** Load of a gate, as it is reported on every answer. */
@@ -79,6 +82,8 @@
 interface Run {
   readonly work: Work;
   readonly startedAt: number;
+  /** Whether it was counted as a run that waits for others. */
+  readonly waits: boolean;
   cancelling: boolean;
 }
 
@@ -108,17 +113,22 @@
   const limit = createLimit(initial.slots);
   const times = createServiceTime();
   const throttle = createThrottle();
+  const nesting = createNesting();
   const runs = new Map<string, Run>();
   const kindRuns = new Map<string, number>();
   const callerRuns = new Map<string, number>();
   let aloneRuns = 0;
+  let waitingRuns = 0;
   let protectedRefusedAt = -Infinity;
   let leaving = false;
 
-  const choice: Choice = {
-    kindUse: (kind) => kindRuns.get(kind) ?? 0,
-    callerUse: (caller) => callerRuns.get(caller) ?? 0,
-  };
+  function choiceAt(now: number): Choice {
+    return {
+      isOpen: (kind, level) => isOpen(kind, level, now),
+      kindUse: (kind) => kindRuns.get(kind) ?? 0,
+      callerUse: (caller) => callerRuns.get(caller) ?? 0,
+    };
+  }
 
   function waitFrom(level: number): number {
     const ahead = queue.countFrom(level);
@@ -136,16 +146,26 @@
   }
 
   function start(work: Work, now: number): GateAction {
-    runs.set(work.id, { work, startedAt: now, cancelling: false });
+    const waits = nesting.waits(work.kind);
+    runs.set(work.id, { work, startedAt: now, waits, cancelling: false });
     countUp(kindRuns, work.kind, 1);
     countUp(callerRuns, work.caller, 1);
     if (work.alone) aloneRuns++;
+    if (waits) waitingRuns++;
     return { kind: "run", work };
   }
 
-  function hasRoomFor(work: Work): boolean {
+  /** Whether a kind's runs at a level may take a further slot. */
+  function isOpen(kind: string, level: number, now: number): boolean {
+    if (level >= PROTECTED_LEVEL || !nesting.waits(kind)) return true;
+    const share = nesting.share(depthOf(level), now);
+    return waitingRuns < Math.max(1, Math.floor(limit.current() * share));
+  }
+
+  function hasRoomFor(work: Work, now: number): boolean {
     if (aloneRuns > 0) return false;
     if (work.alone) return runs.size === 0;
+    if (!isOpen(work.kind, work.level, now)) return false;
     return runs.size < limit.current();
   }
 
@@ -167,13 +187,14 @@
     for (const [kind, floor] of config.floors) {
       const guaranteed = Math.ceil(floor * limit.current());
       if ((kindRuns.get(kind) ?? 0) >= guaranteed) continue;
-      if (queue.chooseOfKind(kind, choice) === undefined) continue;
+      if (queue.chooseOfKind(kind, choiceAt(now)) === undefined) continue;
       return protectedCanWait(now) ? kind : undefined;
     }
     return undefined;
   }
 
   function chooseNext(now: number): Work | undefined {
+    const choice = choiceAt(now);
     const top = queue.choose(choice);
     if (top === undefined) return undefined;
     const floored = config.floors.size > 0 ? kindBelowFloor(now) : undefined;
@@ -189,7 +210,7 @@
     }
     for (;;) {
       const next = chooseNext(now);
-      if (next === undefined || !hasRoomFor(next)) return actions;
+      if (next === undefined || !hasRoomFor(next, now)) return actions;
       queue.remove(next.id);
       actions.push(start(next, now));
     }
@@ -222,7 +243,7 @@
   /** Makes room in a full queue at the cost of less important work. */
   function evictFor(work: Work, now: number): GateAction[] | undefined {
     if (queue.size() < queueBound()) return [];
-    const victim = queue.chooseVictim(choice);
+    const victim = queue.chooseVictim(choiceAt(now));
     if (victim === undefined || victim.work.level >= work.level) {
       return undefined;
     }
@@ -264,7 +285,8 @@
         return [refuse(work, "overload", now)];
       }
       const before = fill(now);
-      const free = hasRoomFor(work) && queue.size() === 0;
+      nesting.seen(depthOf(work.level), now);
+      const free = hasRoomFor(work, now) && queue.size() === 0;
       if (free) return [...before, start(work, now)];
       return [...before, ...admitBusy(work, now)];
     },
@@ -276,6 +298,8 @@
       countUp(kindRuns, run.work.kind, -1);
       countUp(callerRuns, run.work.caller, -1);
       if (run.work.alone) aloneRuns--;
+      if (run.waits) waitingRuns--;
+      if (finish.nested) nesting.learn(run.work.kind);
       limit.observe(sample, now);
       if (isThrottled(run.work)) {
         throttle.observe(run.work.kind, finish.starved ?? false, now);
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -38,6 +38,11 @@
 /** Smallest share that is let through, to notice the end of the trouble. */
 export const THROTTLE_FLOOR = 0.02;
 
+/** Share of the slots kept free of waiting runs, per deeper level of calls. */
+export const NESTING_RESERVE = 0.02;
+/** Time for which a depth of calls is remembered. */
+export const NESTING_MEMORY_MS = 10_000;
+
 /** Factor applied to the concurrency limit after a shed or a timeout. */
 export const LIMIT_BACKOFF = 0.9;
 /** Shortest time between two decreases of the limit. */
--- a/packages/policy/src/level.ts
+++ b/packages/policy/src/level.ts
@@ -46,10 +46,17 @@
  * rank: slots have been spent on it already, and a refusal would waste them.
  */
 export function resolveChildLevel(parent: number, own: number): number {
-  return Math.max(parent, own) + 1;
+  const base = Math.max(parent, own);
+  const depth = Math.min(depthOf(parent) + 1, LEVELS_PER_RANK - 1);
+  return base - depthOf(base) + depth;
+}
+
+/** How far a call is from the caller's request, which is at 0. */
+export function depthOf(level: number): number {
+  return level % LEVELS_PER_RANK;
 }
 
 /** Whether a level is that of a caller's request, not of a call further down. */
 export function isRequestLevel(level: number): boolean {
-  return level % LEVELS_PER_RANK === 0;
+  return depthOf(level) === 0;
 }
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./level.ts";
 export * from "./limit.ts";
 export * from "./membership.ts";
+export * from "./nesting.ts";
 export * from "./outcome.ts";
 export * from "./pause.ts";
 export * from "./random.ts";
--- a/packages/policy/src/work_queue.ts
+++ b/packages/policy/src/work_queue.ts
@@ -9,6 +9,8 @@
 
 /** How the next entry of a level is chosen. */
 export interface Choice {
+  /** Whether work of a kind and level may be started at present. */
+  readonly isOpen: (kind: string, level: number) => boolean;
   /** How much of the slots a kind uses already; the smallest goes first. */
   readonly kindUse: (kind: string) => number;
   /** How much of the slots a caller uses already; the smallest goes first. */
@@ -105,7 +107,8 @@
   function chooseAt(level: number, choice: Choice): QueueEntry | undefined {
     const kinds = byLevel.get(level);
     if (kinds === undefined) return undefined;
-    const kind = leastBy(kinds.keys(), choice.kindUse);
+    const open = [...kinds.keys()].filter((kind) => choice.isOpen(kind, level));
+    const kind = leastBy(open, choice.kindUse);
     return kind === undefined
       ? undefined
       : nextOf(kinds.get(kind) ?? [], choice);
@@ -141,13 +144,17 @@
     },
     levels: () => levels,
     choose: (choice) => {
-      const top = levels[0];
-      return top === undefined ? undefined : chooseAt(top, choice);
+      for (const level of levels) {
+        const entry = chooseAt(level, choice);
+        if (entry !== undefined) return entry;
+      }
+      return undefined;
     },
     chooseOfKind: (kind, choice) => {
       for (const level of levels) {
         const entries = byLevel.get(level)?.get(kind);
-        if (entries !== undefined) return nextOf(entries, choice);
+        const open = choice.isOpen(kind, level);
+        if (entries !== undefined && open) return nextOf(entries, choice);
       }
       return undefined;
     },
