--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -288,7 +288,9 @@
       nesting.seen(depthOf(work.level), now);
       const free = hasRoomFor(work, now) && queue.size() === 0;
       if (free) return [...before, start(work, now)];
-      return [...before, ...admitBusy(work, now)];
+      // What is queued ahead may be of a kind that must wait although slots
+      // are free, so the queue is looked at again.
+      return [...before, ...admitBusy(work, now), ...fill(now)];
     },
     finish: (id, finish, { now }) => {
       const run = runs.get(id);
