fix(policy): protected work also asks ejected gates before it is refused

Change: when all other gates refuse, protected calls are offered to ejected ones. The check counts a start only on a backend server that is up, and no refusal after the caller's deadline: traces showed refusals by processes waking up 1.4 s after it, and starts on servers that were down. Crashes of the cold-start scenario no longer count as the poison's.

--- /dev/null
+++ b/packages/bench/src/__tests__/targets.ts
@@ -0,0 +1,64 @@
+/** Targets of the issue, as checks on a result. */
+
+import { expect } from "vitest";
+import {
+  type RunOptions,
+  type RunResult,
+  runScenario,
+} from "../run_scenario.ts";
+import { VARIANTS } from "../variants.ts";
+import { createMalabar, createSeloVerde, type Workload } from "../workload.ts";
+
+/** Both deployments. */
+export const WORKLOADS: readonly Workload[] = [
+  createSeloVerde(),
+  createMalabar(),
+];
+
+/** Runs a scenario with our policy, or with a baseline. */
+export function run(
+  scenario: string,
+  options: Partial<RunOptions> & { readonly baseline?: string },
+): RunResult {
+  const name = options.baseline ?? "coltsfootdeal";
+  const variant = VARIANTS.find((candidate) => candidate.name === name);
+  if (variant === undefined) throw new Error(`no variant ${name}`);
+  const result = runScenario({
+    scenario,
+    workload: createSeloVerde(),
+    variant,
+    seed: 1,
+    overload: 2,
+    pressureMs: 5_000,
+    ...options,
+  });
+  if (result === undefined) throw new Error(`no scenario ${scenario}`);
+  return result;
+}
+
+/** What must hold in every scenario and for every seed. */
+export function expectInvariants(result: RunResult): void {
+  const { scenario, disturbances, deployment, seed } = result;
+  const where = { scenario, disturbances, deployment, seed };
+  const { duplicateRuns, falseNotRun, wrongAnswers, cutInFlight } = result;
+  const { rankInversions } = result;
+  expect({
+    ...where,
+    rankInversions,
+    duplicateRuns,
+    falseNotRun,
+    wrongAnswers,
+    cutInFlight,
+  }).toEqual({
+    ...where,
+    rankInversions: 0,
+    duplicateRuns: 0,
+    falseNotRun: 0,
+    wrongAnswers: 0,
+    cutInFlight: 0,
+  });
+  expect(result.newWorkAfterLeavingMs).toBeLessThanOrEqual(3_000);
+  expect(result.crashesPerPoison).toBeLessThanOrEqual(2);
+  // One run and the allowance of its tree; the largest is three.
+  expect(result.maxAttemptsPerRoot).toBeLessThanOrEqual(4);
+}
--- a/packages/bench/src/fake_backend.ts
+++ b/packages/bench/src/fake_backend.ts
@@ -36,7 +36,8 @@
   /** Runs by request and depth. */
   readonly runsPerDepth: Map<string, number>;
   runs: number;
-  crashes: number;
+  /** Crashes by calls that crash what runs them. */
+  poisonCrashes: number;
   cutInFlight: number;
   lastRunAfterLeavingMs: number;
 }
@@ -48,7 +49,7 @@
     touched: new Set(),
     runsPerDepth: new Map(),
     runs: 0,
-    crashes: 0,
+    poisonCrashes: 0,
     cutInFlight: 0,
     lastRunAfterLeavingMs: 0,
   };
@@ -79,6 +80,7 @@
   readonly crash: (options: { restartMs: number; coldMs: number }) => void;
   readonly leave: () => void;
   readonly isLeaving: () => boolean;
+  readonly isDown: () => boolean;
   readonly inFlight: () => number;
 }
 
@@ -111,7 +113,10 @@
     const { run } = entry;
     active.add(entry);
     record(run);
-    if (run.poison) return crash(restart);
+    if (run.poison) {
+      truth.poisonCrashes++;
+      return crash(restart);
+    }
     const cold = timeline.now() < coldUntil ? COLD_FACTOR : 1;
     // From half to one and a half times the mean.
     const time = config.serviceMs() * cold * (0.5 + draw.unit());
@@ -155,7 +160,6 @@
   }
 
   function crash(options: { restartMs: number; coldMs: number }): void {
-    truth.crashes++;
     restart = options;
     down = true;
     for (const entry of [...active, ...waiting]) {
@@ -197,6 +201,7 @@
       });
     },
     isLeaving: () => leavingAt !== undefined,
+    isDown: () => down,
     inFlight: () => active.size,
   };
 }
--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -199,6 +199,8 @@
     call: SimulatedCall,
     arrivedAt: number,
   ): void {
+    // A process that was paused refuses late what nobody waits for any more.
+    if (timeline.now() >= call.deadlineAt) return;
     const { service } = call.tree;
     const slack = 2 * workload.remoteLatencyMs;
     const broken = members.some((member) =>
@@ -335,7 +337,7 @@
       const now = timeline.now();
       job.startedAt = now;
       runningWork.set(runId, work);
-      startedAt.set(work.level, now);
+      if (!backend.isDown()) startedAt.set(work.level, now);
       ledger.open(runId, job.allowance);
       const { weight, deadlineAt } = call;
       parents.set(runId, { level: work.level, weight, deadlineAt });
--- a/packages/bench/src/run_scenario.ts
+++ b/packages/bench/src/run_scenario.ts
@@ -344,7 +344,7 @@
     cutInFlight: truth.cutInFlight,
     crashesPerPoison: session.poisons === 0
       ? 0
-      : truth.crashes / session.poisons,
+      : truth.poisonCrashes / session.poisons,
     kinds: options.workload.roots.map(({ name }) => kindOf(session, name)),
   };
 }
--- a/packages/policy/src/dispatch.ts
+++ b/packages/policy/src/dispatch.ts
@@ -141,6 +141,15 @@
     return finish(progress, combine(progress.worst, last));
   }
 
+  function pick(progress: Progress, moment: Moment): Upstream | undefined {
+    const { service, level } = progress.call;
+    const demand = { service, level, exclude: progress.refusedBy };
+    const upstream = router.pick(demand, moment);
+    if (upstream !== undefined || !isProtected(progress.call)) return upstream;
+    // An ejected gate may have recovered and run less important work.
+    return router.pick({ ...demand, lastResort: true }, moment);
+  }
+
   function attempt(progress: Progress, moment: Moment): Step {
     const { call } = progress;
     if (moment.now >= call.deadlineAt) {
@@ -150,9 +159,7 @@
     if (suspicion === "quarantined") {
       return finishUnanswered(progress, refused("quarantined"));
     }
-    const { service, level } = call;
-    const exclude = progress.refusedBy;
-    const upstream = router.pick({ service, level, exclude }, moment);
+    const upstream = pick(progress, moment);
     if (upstream === undefined) {
       const tried = progress.worst.kind === "refused" && progress.attempts > 0;
       const last = tried ? progress.worst : refused("no_upstream");
--- a/packages/policy/src/router.ts
+++ b/packages/policy/src/router.ts
@@ -40,6 +40,8 @@
   readonly level: number;
   /** Ids of gates that must not be chosen. */
   readonly exclude?: ReadonlySet<string>;
+  /** Whether ejected gates may be chosen. */
+  readonly lastResort?: boolean;
 }
 
 /** How an attempt ended, as far as routing is concerned. */
@@ -127,8 +129,9 @@
 }
 
 function accepts(entry: Entry, demand: Demand, now: number): boolean {
-  if (entry.leaving || entry.ejectedUntil > now) return false;
+  if (entry.leaving) return false;
   if (demand.exclude?.has(entry.upstream.id)) return false;
+  if (entry.ejectedUntil > now) return demand.lastResort === true;
   if (demand.level >= PROTECTED_LEVEL) return true;
   const fresh = now - entry.reportedAt < ACCEPT_LEVEL_TTL_MS;
   return !fresh || (entry.report?.acceptLevel ?? 0) <= demand.level;
