fix(policy): see a slowdown before runs end; poison beside other deaths

Cause: (1) deep-slow at 2 times capacity refused 7 protected calls that had been queued on estimates from before the slowdown, while lesser work started; (2) poison with cold-start killed 2.5 backend servers a call: the other restarts made its deaths look like a mass failure. Change: (1) waits are scaled by how much longer than usual the runs in flight take already; (2) a call at two deaths more than 100 ms apart is quarantined. The check passes over gates whose backend server was down when the call asked: a trace showed refusals as unreachable 1 to 7 ms before it came back.

--- a/packages/bench/src/fake_backend.ts
+++ b/packages/bench/src/fake_backend.ts
@@ -81,6 +81,8 @@
   readonly leave: () => void;
   readonly isLeaving: () => boolean;
   readonly isDown: () => boolean;
+  /** When it was last started. */
+  readonly upSince: () => number;
   readonly inFlight: () => number;
 }
 
@@ -105,6 +107,7 @@
   // Above its slots a backend server queues by itself, up to its connections.
   const waiting: Active[] = [];
   let down = false;
+  let upSince = 0;
   let coldUntil = 0;
   let leavingAt: number | undefined;
   let restart = { restartMs: 2_000, coldMs: 3_000 };
@@ -171,6 +174,7 @@
     waiting.length = 0;
     timeline.after(options.restartMs, () => {
       down = false;
+      upSince = timeline.now();
       coldUntil = timeline.now() + options.coldMs;
     });
   }
@@ -202,6 +206,7 @@
     },
     isLeaving: () => leavingAt !== undefined,
     isDown: () => down,
+    upSince: () => upSince,
     inFlight: () => active.size,
   };
 }
--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -205,6 +205,8 @@
     const slack = 2 * workload.remoteLatencyMs;
     const broken = members.some((member) =>
       member.service === service && !member.isPaused() &&
+      // A backend server that was down when the call asked was out of reach.
+      !member.backend.isDown() && member.backend.upSince() <= arrivedAt &&
       !member.isLeaving() && !isCut(origin, member) &&
       (member.lesserCancellable(PROTECTED_LEVEL) ||
         member.lesserStartedAt(PROTECTED_LEVEL) > arrivedAt + slack)
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -82,6 +82,8 @@
 interface Run {
   readonly work: Work;
   readonly startedAt: number;
+  /** Time that it was expected to take. */
+  readonly expectedMs: number;
   /** Whether it was counted as a run that waits for others. */
   readonly waits: boolean;
   cancelling: boolean;
@@ -119,6 +121,8 @@
   const callerRuns = new Map<string, number>();
   let aloneRuns = 0;
   let waitingRuns = 0;
+  let startedSum = 0;
+  let expectedSum = 0;
   let protectedRefusedAt = -Infinity;
   let leaving = false;
 
@@ -130,9 +134,18 @@
     };
   }
 
-  function waitFrom(level: number): number {
+  /**
+   * How much slower than usual the runs in flight are. They tell of a
+   * slowdown before the first of them has finished.
+   */
+  function slowness(now: number): number {
+    if (runs.size === 0 || expectedSum <= 0) return 1;
+    return Math.max(1, (runs.size * now - startedSum) / expectedSum);
+  }
+
+  function waitFrom(level: number, now: number): number {
     const ahead = queue.countFrom(level);
-    return (ahead * times.overall()) / limit.current();
+    return (ahead * times.overall() * slowness(now)) / limit.current();
   }
 
   function refuse(
@@ -141,13 +154,17 @@
     now: number,
   ): GateAction {
     if (isProtected(work)) protectedRefusedAt = now;
-    const retryAfterMs = Math.ceil(waitFrom(work.level));
+    const retryAfterMs = Math.ceil(waitFrom(work.level, now));
     return { kind: "refuse", work, reason, retryAfterMs };
   }
 
   function start(work: Work, now: number): GateAction {
     const waits = nesting.waits(work.kind);
-    runs.set(work.id, { work, startedAt: now, waits, cancelling: false });
+    const expectedMs = times.ofKind(work.kind);
+    const run = { work, startedAt: now, expectedMs, waits };
+    runs.set(work.id, { ...run, cancelling: false });
+    startedSum += now;
+    expectedSum += expectedMs;
     countUp(kindRuns, work.kind, 1);
     countUp(callerRuns, work.caller, 1);
     if (work.alone) aloneRuns++;
@@ -176,7 +193,8 @@
     const rounds = Math.ceil((protectedCount + 1) / limit.current());
     for (const { work } of queue.entries()) {
       if (!isProtected(work)) continue;
-      const needed = rounds * times.overall() + times.ofKind(work.kind);
+      const usual = rounds * times.overall() + times.ofKind(work.kind);
+      const needed = usual * slowness(now);
       if (now + needed > work.deadlineAt) return false;
     }
     return true;
@@ -234,9 +252,9 @@
   }
 
   function fits(work: Work, now: number): boolean {
-    const wait = waitFrom(work.level);
+    const wait = waitFrom(work.level, now);
     if (!isProtected(work) && wait > queueWaitMs) return false;
-    const run = times.ofKind(work.kind) * LONGEST_SHARE;
+    const run = times.ofKind(work.kind) * slowness(now) * LONGEST_SHARE;
     return now + wait + run <= work.deadlineAt;
   }
 
@@ -297,6 +315,8 @@
       if (run === undefined) return [];
       const sample = { inFlight: runs.size, overloaded: finish.shed };
       runs.delete(id);
+      startedSum -= run.startedAt;
+      expectedSum -= run.expectedMs;
       countUp(kindRuns, run.work.kind, -1);
       countUp(callerRuns, run.work.caller, -1);
       if (run.work.alone) aloneRuns--;
@@ -334,10 +354,10 @@
       leaving = true;
     },
     restart: () => limit.reset(),
-    load: () => {
+    load: (now) => {
       let acceptLevel = 0;
       for (const level of queue.levels()) {
-        if (waitFrom(level) <= queueWaitMs) continue;
+        if (waitFrom(level, now) <= queueWaitMs) continue;
         acceptLevel = Math.min(level + 1, PROTECTED_LEVEL);
         break;
       }
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -93,6 +93,8 @@
 export const MASS_FAILURE_DEATHS = 3;
 /** Time window of a mass failure. */
 export const MASS_FAILURE_WINDOW_MS = 500;
+/** Longest time between the deaths of one failure that a call was part of. */
+export const MASS_FAILURE_SPREAD_MS = 100;
 /** Most suspects remembered by a node. */
 export const SUSPECTS_MAX = 4_096;
 
--- a/packages/policy/src/suspects.ts
+++ b/packages/policy/src/suspects.ts
@@ -7,6 +7,7 @@
 
 import {
   MASS_FAILURE_DEATHS,
+  MASS_FAILURE_SPREAD_MS,
   MASS_FAILURE_WINDOW_MS,
   SUSPECT_DEATHS_MAX,
   SUSPECT_TTL_MS,
@@ -94,6 +95,10 @@
       // ran alone is the cause, whatever else failed at the time.
       const alone = open.some(({ digests }) => digests.length === 1);
       if (alone && open.length >= SUSPECT_DEATHS_MAX) return "quarantined";
+      // A mass failure strikes once: who was there again later was the cause.
+      const times = open.map(({ at }) => at);
+      const spread = Math.max(...times) - Math.min(...times);
+      if (spread > MASS_FAILURE_SPREAD_MS) return "quarantined";
       const singled = open.filter((death) => !partOfMassFailure(death));
       if (singled.length >= SUSPECT_DEATHS_MAX) return "quarantined";
       // A call that was present at several deaths of a mass failure is
