--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-semi-space-size=2
 /** The binary `coltsfootdeal-node`. */
 
 import { readFile } from "node:fs/promises";
--- a/packages/standin/src/ports.ts
+++ b/packages/standin/src/ports.ts
@@ -1,13 +1,36 @@
 /** Free ports for tests and demos. */
 
-import { type HttpServer, serveHttp } from "./http_server.ts";
+import process from "node:process";
+import { serveHttp } from "./http_server.ts";
 
-/** Finds `count` ports of 127.0.0.1 that are free at present. */
+/** Below the range from which systems take ports of outgoing connections. */
+const FIRST_PORT = 10_000;
+const PORTS = 20_000;
+/** Ports that a process tries before it meets those of another one. */
+const PORTS_PER_PROCESS = 500;
+
+let next = (process.pid * PORTS_PER_PROCESS) % PORTS;
+
+async function isFree(port: number): Promise<boolean> {
+  try {
+    const server = await serveHttp((_, response) => response.end(), port);
+    await server.close();
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+/**
+ * Finds `count` ports of 127.0.0.1 that are free at present. They are not
+ * handed out again, nor taken by outgoing connections.
+ */
 export async function findFreePorts(count: number): Promise<readonly number[]> {
-  const servers: HttpServer[] = [];
-  for (let index = 0; index < count; index++) {
-    servers.push(await serveHttp((_, response) => response.end(), 0));
+  const ports: number[] = [];
+  for (let tried = 0; ports.length < count && tried < PORTS; tried++) {
+    const port = FIRST_PORT + next;
+    next = (next + 1) % PORTS;
+    if (await isFree(port)) ports.push(port);
   }
-  for (const server of servers) await server.close();
-  return servers.map(({ port }) => port);
+  return ports;
 }
