--- a/packages/bench/src/capacity_slopes.ts
+++ b/packages/bench/src/capacity_slopes.ts
@@ -1,5 +1,6 @@
 /** Slopes from which the capacity at full size is worked out. */
 
+import { readFile } from "node:fs/promises";
 import process from "node:process";
 import {
   createAdmission,
@@ -23,6 +24,14 @@
   readonly base: number;
 }
 
+const SETTLE_MS = 12_000;
+const QUIET_MS = 8_000;
+const CHANGES = 5;
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
+
 const SIZES = [36, 360, 3_600];
 
 function instance(index: number): ListedInstance {
@@ -143,37 +152,66 @@
   return result("admission under overload", "µs per slot", { points });
 }
 
-async function readsOfPlatform(): Promise<readonly SlopeResult[]> {
-  const reads: { x: number; y: number }[] = [];
-  const times: { x: number; y: number }[] = [];
-  const cpu: { x: number; y: number }[] = [];
-  for (const x of [6, 20, 60]) {
-    const fleet = await startRealFleet({
-      count: x,
-      serviceMs: 1,
-      dataCentres: 3,
-    });
-    await new Promise((resolve) => setTimeout(resolve, 3_000));
-    const callsBefore = fleet.platform.calls();
-    const cpuBefore = process.cpuUsage();
-    const startedAt = performance.now();
-    const inForce: number[] = [];
-    for (let version = 2; version < 7; version++) {
-      inForce.push(await timeUntilInForce(fleet, version));
-      await new Promise((resolve) => setTimeout(resolve, 500));
-    }
-    const seconds = (performance.now() - startedAt) / 1_000;
-    const used = process.cpuUsage(cpuBefore);
-    const perChange = (fleet.platform.calls() - callsBefore) / inForce.length;
-    reads.push({ x, y: perChange });
-    times.push({ x, y: Math.max(...inForce) });
-    cpu.push({ x, y: (used.user + used.system) / 10_000 / seconds / x });
-    await fleet.close();
+/** Bytes received on loopback since the system started. */
+async function loopbackBytes(): Promise<number> {
+  const text = await readFile("/proc/net/dev", "utf8").catch(() => "");
+  const line = text.split("\n").find((row) => row.trim().startsWith("lo:"));
+  return Number(line?.trim().split(/\s+/)[1] ?? Number.NaN);
+}
+
+interface FleetFigures {
+  /** Processor time of a node without calls, in % of a core. */
+  readonly cpu: number;
+  /** Bytes a second that a node without calls or changes receives. */
+  readonly bytes: number;
+  /** Calls of the platform per change, over all nodes. */
+  readonly reads: number;
+  /** Longest time until a change was in force everywhere, in ms. */
+  readonly inForceMs: number;
+}
+
+async function measureFleet(count: number): Promise<FleetFigures> {
+  const options = { count, serviceMs: 1, dataCentres: 3 };
+  const fleet = await startRealFleet(options);
+  // The comparisons settle after ten seconds.
+  await sleep(SETTLE_MS);
+  const cpuBefore = process.cpuUsage();
+  const bytesBefore = await loopbackBytes();
+  await sleep(QUIET_MS);
+  const used = process.cpuUsage(cpuBefore);
+  const bytes = (await loopbackBytes()) - bytesBefore;
+  const callsBefore = fleet.platform.calls();
+  const inForce: number[] = [];
+  for (let version = 2; version < 2 + CHANGES; version++) {
+    inForce.push(await timeUntilInForce(fleet, version));
+    await sleep(500);
   }
+  const calls = fleet.platform.calls() - callsBefore;
+  await fleet.close();
+  const seconds = QUIET_MS / 1_000;
+  return {
+    cpu: (used.user + used.system) / 10_000 / seconds / count,
+    bytes: bytes / seconds / count,
+    reads: calls / CHANGES,
+    inForceMs: Math.max(...inForce),
+  };
+}
+
+async function measureFleets(): Promise<readonly SlopeResult[]> {
+  const sizes = [6, 20, 60];
+  const figures: FleetFigures[] = [];
+  for (const size of sizes) figures.push(await measureFleet(size));
+  const points = (value: (figure: FleetFigures) => number) => ({
+    points: figures.map((figure, index) => ({
+      x: sizes[index] ?? 0,
+      y: value(figure),
+    })),
+  });
   return [
-    result("platform calls per change", "calls per node", { points: reads }),
-    result("change in force on real nodes", "ms per node", { points: times }),
-    result("control of an idle node", "% of a core per node", { points: cpu }),
+    result("control of an idle node", "% of a core", points((f) => f.cpu)),
+    result("control traffic of an idle node", "B/s", points((f) => f.bytes)),
+    result("platform calls per change", "calls", points((f) => f.reads)),
+    result("change in force on real nodes", "ms", points((f) => f.inForceMs)),
   ];
 }
 
@@ -185,6 +223,6 @@
     timeOfComparison(),
     timeOfPick(),
     timeOfAdmission(),
-    ...await readsOfPlatform(),
+    ...await measureFleets(),
   ];
 }
--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -1,6 +1,5 @@
 /** The agent: distribution of bundles, membership and facts about instances. */
 
-import { createHash } from "node:crypto";
 import { FLEET_SCOPE } from "@coltsfootdeal/bundle";
 import type { Clock } from "@coltsfootdeal/kernel";
 import {
@@ -13,7 +12,6 @@
   type Death,
   drawIndex,
   type InstanceFact,
-  LEAVING_FACT_MS,
   type ListedInstance,
   type Membership,
   type News,
@@ -23,11 +21,22 @@
   type Suspects,
 } from "@coltsfootdeal/policy";
 import type { Audit } from "../admin/audit.ts";
-import { LOCAL_PEERS, READER_PERIOD_MS, REMOTE_PEERS } from "../constants.ts";
+import { READER_PERIOD_MS } from "../constants.ts";
 import { formatAddress, type Settings } from "../settings.ts";
 import type { BundleStore } from "./bundle_store.ts";
 import type { ControlHandler, Identity, PulledValue } from "./control_api.ts";
 import type { ControlClient } from "./control_client.ts";
+import {
+  BUNDLE,
+  DEATH,
+  deathNews,
+  digestOf,
+  FACT,
+  factNews,
+  INSTANCE,
+  parse,
+} from "./news.ts";
+import { createPeers } from "./peers.ts";
 import type {
   PlatformClient,
   PlatformInstance,
@@ -76,47 +85,6 @@
   readonly close: () => void;
 }
 
-const BUNDLE = "bundle/";
-const INSTANCE = "instance/";
-const FACT = "fact/";
-const DEATH = "death/";
-
-function digestOf(text: string): string {
-  return createHash("sha256").update(text).digest("hex").slice(0, 16);
-}
-
-function factNews(fact: InstanceFact): News {
-  const start = Number.parseInt(fact.incarnation, 10) || 0;
-  const value = JSON.stringify(fact);
-  return {
-    topic: FACT + fact.id,
-    // Leaving comes after live in the same incarnation.
-    version: start * 2 + (fact.leaving ? 1 : 0),
-    digest: digestOf(value),
-    value,
-    lifeMs: LEAVING_FACT_MS,
-  };
-}
-
-function deathNews(death: Death): News {
-  const value = JSON.stringify(death);
-  return {
-    topic: DEATH + death.id,
-    version: 1,
-    digest: digestOf(value),
-    value,
-    lifeMs: SUSPECT_TTL_MS,
-  };
-}
-
-function parse<Value>(news: News): Value | undefined {
-  try {
-    return news.value ? JSON.parse(news.value) as Value : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 /** Creates an agent that has not started. */
 export function createAgent(config: AgentConfig): Agent {
   const { settings, clock, audit, store, router, control } = config;
@@ -128,11 +96,10 @@
   });
   const seeds = settings.seeds.map(formatAddress).filter((a) => a !== self);
   const called = new Set<string>();
+  const peers = createPeers(self, seeds);
   const rejected = new Set<string>();
   const pulling = new Set<string>();
   const timers: { readonly close: () => void }[] = [];
-  let localPeers: readonly string[] = [];
-  let remotePeers: readonly string[] = [];
   let bootstrapped = seeds.length === 0;
   let closed = false;
 
@@ -178,9 +145,11 @@
     const fresh = spread.receive(news, clock.now());
     let changed = false;
     for (const item of fresh) {
-      if (item.topic.startsWith(INSTANCE)) changed = learnInstance(item);
-      else if (item.topic.startsWith(FACT)) changed = learnFact(item);
-      else if (item.topic.startsWith(DEATH)) learnDeath(item);
+      if (item.topic.startsWith(INSTANCE)) {
+        changed = learnInstance(item) || changed;
+      } else if (item.topic.startsWith(FACT)) {
+        changed = learnFact(item) || changed;
+      } else if (item.topic.startsWith(DEATH)) learnDeath(item);
       else if (item.topic.startsWith(BUNDLE)) considerBundle(item);
     }
     if (changed) refreshRoutes();
@@ -237,7 +206,7 @@
     if (pulling.has(key)) return;
     pulling.add(key);
     try {
-      const sources = [news.source, ...drawPeers()];
+      const sources = [news.source, ...peers.draw()];
       for (const source of sources) {
         if (source === undefined || source === self || closed) continue;
         if (await pullFrom(source, news)) return;
@@ -278,36 +247,16 @@
     for (const service of membership.services()) {
       router.update(service, membership.upstreams(service, now), { now });
     }
-    const controls = (instances: readonly ListedInstance[]) =>
-      instances.map(({ control }) => control).filter((a) => a !== self);
-    localPeers = controls(membership.members(settings.dataCentre));
-    const others = settings.dataCentres.slice(1);
-    remotePeers = others.flatMap((name) => controls(membership.members(name)));
-  }
-
-  function sample(from: readonly string[], count: number): readonly string[] {
-    if (from.length <= count) return from;
-    const start = drawIndex(Math.random, from.length);
-    const stride = 1 + drawIndex(Math.random, from.length - 1);
-    const drawn = new Set<string>();
-    for (let index = 0; index < count; index++) {
-      const peer = from[(start + index * stride) % from.length];
-      if (peer !== undefined) drawn.add(peer);
-    }
-    return [...drawn];
-  }
-
-  function drawPeers(): readonly string[] {
-    const peers = [
-      ...sample(localPeers, LOCAL_PEERS),
-      ...sample(remotePeers, REMOTE_PEERS),
-    ];
-    return peers.length > 0 ? peers : seeds;
+    const { dataCentre, dataCentres } = settings;
+    peers.update({
+      local: membership.members(dataCentre),
+      remote: dataCentres.slice(1).flatMap(membership.members),
+    });
   }
 
   function pushRumours(): void {
     const options = { now: clock.now(), random: Math.random };
-    for (const { peer, news } of spread.round(drawPeers(), options)) {
+    for (const { peer, news } of spread.round(peers.draw(), options)) {
       control.push(peer, news);
     }
   }
@@ -327,15 +276,15 @@
   }
 
   function comparePeer(): void {
-    const peers = drawPeers();
-    const peer = peers[drawIndex(Math.random, peers.length)];
+    const drawn = peers.draw();
+    const peer = drawn[drawIndex(Math.random, drawn.length)];
     if (peer !== undefined) compareWith(peer);
   }
 
   async function bootstrap(): Promise<void> {
     const deadline = clock.now() + Math.random() * BOOTSTRAP_SPREAD_MS;
     while (!bootstrapped && !closed && clock.now() < deadline) {
-      for (const seed of sample(seeds, 3)) {
+      for (const seed of peers.drawSeeds()) {
         const done = await compareWith(seed);
         if (done && store.catalog() !== undefined) bootstrapped = true;
         if (bootstrapped) return;
@@ -445,7 +394,7 @@
       const { incarnation } = config;
       const news = factNews({ id, incarnation, leaving: true });
       learn([news]);
-      await Promise.all(drawPeers().map((peer) => control.push(peer, [news])));
+      await Promise.all(peers.draw().map((peer) => control.push(peer, [news])));
     },
     status: () => ({
       reader: watch.active(),
--- /dev/null
+++ b/packages/node/src/agent/peers.ts
@@ -0,0 +1,60 @@
+/** The peers that an agent talks to. */
+
+import { drawIndex, type ListedInstance } from "@coltsfootdeal/policy";
+import { LOCAL_PEERS, REMOTE_PEERS } from "../constants.ts";
+
+/** Draws control addresses of peers. */
+export interface Peers {
+  /** Replaces the known instances of the own and of other data centres. */
+  readonly update: (known: {
+    readonly local: readonly ListedInstance[];
+    readonly remote: readonly ListedInstance[];
+  }) => void;
+  /** A few random peers, or the seeds while none are known. */
+  readonly draw: () => readonly string[];
+  /** A few random seeds. */
+  readonly drawSeeds: () => readonly string[];
+}
+
+/** Seeds that are asked in one round. */
+const SEEDS_PER_ROUND = 3;
+
+function sample(from: readonly string[], count: number): readonly string[] {
+  if (from.length <= count) return from;
+  const start = drawIndex(Math.random, from.length);
+  const stride = 1 + drawIndex(Math.random, from.length - 1);
+  const drawn = new Set<string>();
+  for (let index = 0; index < count; index++) {
+    const peer = from[(start + index * stride) % from.length];
+    if (peer !== undefined) drawn.add(peer);
+  }
+  return [...drawn];
+}
+
+/** Creates the peers of a node that knows its seeds only. */
+export function createPeers(
+  self: string,
+  seeds: readonly string[],
+): Peers {
+  let local: readonly string[] = [];
+  let remote: readonly string[] = [];
+
+  function addresses(instances: readonly ListedInstance[]) {
+    return instances.map(({ control }) => control).filter((a) => a !== self);
+  }
+
+  return {
+    update: (known) => {
+      local = addresses(known.local);
+      remote = addresses(known.remote);
+    },
+    draw: () => {
+      const drawn = [
+        ...sample(local, LOCAL_PEERS),
+        ...sample(remote, REMOTE_PEERS),
+      ];
+      return drawn.length > 0 ? drawn : seeds;
+    },
+    drawSeeds: () => sample(seeds, SEEDS_PER_ROUND),
+  };
+}
