refactor(bench): fleet in virtual time split by role

Cause: one closure of 600 lines was ingress, gate, tickets and process. Change: types, gate side, ingress side, node and fleet are files of their own.

--- a/packages/bench/src/callers.ts
+++ b/packages/bench/src/callers.ts
@@ -3,7 +3,8 @@
 import type { Outcome } from "@coltsfootdeal/policy";
 import { CLIENT_LATENCY_MS } from "./constants.ts";
 import type { Truth } from "./fake_backend.ts";
-import type { SimulatedFleet, SimulatedNode } from "./fleet.ts";
+import type { SimulatedFleet } from "./fleet.ts";
+import type { SimulatedNode } from "./sim_types.ts";
 import type { Draw } from "./random.ts";
 import type { Timeline } from "./timeline.ts";
 import type { RootKind, Workload } from "./workload.ts";
--- a/packages/bench/src/scenarios.ts
+++ b/packages/bench/src/scenarios.ts
@@ -3,7 +3,8 @@
 import { fullRate } from "./capacity.ts";
 import type { Draw } from "./random.ts";
 import { CALM_LOAD } from "./constants.ts";
-import type { SimulatedFleet, SimulatedNode } from "./fleet.ts";
+import type { SimulatedFleet } from "./fleet.ts";
+import type { SimulatedNode } from "./sim_types.ts";
 import type { Timeline } from "./timeline.ts";
 import { deepen, type RootKind, type Workload } from "./workload.ts";
 
