--- a/packages/cli/src/base_command.ts
+++ b/packages/cli/src/base_command.ts
@@ -35,9 +35,10 @@
     const exit = error.oclif?.exit ?? EXIT_INPUT;
     // A command that ends with a code of its own has said what it had to say.
     if (error instanceof Errors.ExitError) process.exit(exit);
-    const message = error.message.split("\n").filter((line) =>
-      line !== "" && !line.startsWith("See more help")
-    ).join("; ");
+    const message = error.message.split("\n").map((line) =>
+      line.trim().replaceAll(/\s+/g, " ")
+    ).filter((line) => line !== "" && !line.startsWith("See more help"))
+      .join("; ").replaceAll(":;", ":");
     if (this.jsonEnabled()) {
       process.stdout.write(`${JSON.stringify({ error: message })}\n`);
     } else {
--- a/packages/node/src/__tests__/harness.ts
+++ b/packages/node/src/__tests__/harness.ts
@@ -17,7 +17,8 @@
   startPlatform,
 } from "@coltsfootdeal/standin";
 import { createSilentLog } from "../log.ts";
-import { type Node, startNode } from "../node.ts";
+import { startNode } from "../node.ts";
+import type { Node } from "../node_types.ts";
 import { resolveSettings } from "../settings.ts";
 
 /** Bundle text of the test service. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -2,12 +2,7 @@
 
 import { randomBytes } from "node:crypto";
 import { type Catalog, FLEET_SCOPE, levelOf } from "@coltsfootdeal/bundle";
-import {
-  type Clock,
-  createKernel,
-  defineService,
-  type Kernel,
-} from "@coltsfootdeal/kernel";
+import { createKernel } from "@coltsfootdeal/kernel";
 import {
   createLedger,
   createPauseDetector,
@@ -24,9 +19,9 @@
   createAdminApi,
   type Readiness,
 } from "./admin/admin_api.ts";
-import { type Audit, createAudit } from "./admin/audit.ts";
-import { createMetrics, type Metrics } from "./admin/metrics.ts";
-import { type Agent, createAgent } from "./agent/agent.ts";
+import { createAudit } from "./admin/audit.ts";
+import { createMetrics } from "./admin/metrics.ts";
+import { createAgent } from "./agent/agent.ts";
 import { createBundleStore } from "./agent/bundle_store.ts";
 import { createControlRouter } from "./agent/control_api.ts";
 import { createControlClient } from "./agent/control_client.ts";
@@ -38,75 +33,22 @@
   HOUSEKEEPING_MS,
 } from "./constants.ts";
 import { createBackendServer } from "./gate/backend_server.ts";
-import { createGate, type Gate } from "./gate/gate.ts";
-import { createHttpClient, type HttpClient } from "./http_client.ts";
+import { createGate } from "./gate/gate.ts";
+import { createHttpClient } from "./http_client.ts";
 import { createDataApi } from "./ingress/data_api.ts";
 import { createForwarder } from "./ingress/forwarder.ts";
 import { createHomeForwarder } from "./ingress/home.ts";
-import { createIngress, type Ingress } from "./ingress/ingress.ts";
+import { createIngress } from "./ingress/ingress.ts";
 import { createTicketed } from "./ingress/ticketed.ts";
 import { listen, type Listener, type ListenError } from "./listener.ts";
-import type { Log } from "./log.ts";
+import {
+  type Node,
+  type NodeOptions,
+  type NodeStatus,
+  SERVICE,
+} from "./node_types.ts";
 import { formatAddress, type Settings } from "./settings.ts";
 
-/** Names under which a node's services find each other. */
-export const SERVICE = {
-  agent: defineService<Agent>("agent"),
-  audit: defineService<Audit>("audit"),
-  gate: defineService<Gate>("gate"),
-  ingress: defineService<Ingress & { readonly close: () => void }>("ingress"),
-  metrics: defineService<Metrics>("metrics"),
-  httpClient: defineService<HttpClient>("http_client"),
-} as const;
-
-/** What a node is given. */
-export interface NodeOptions {
-  readonly clock: Clock;
-  readonly log: Log;
-  /**
-   * Time for which a leaving node goes on refusing new work.
-   * @default DRAIN_QUIET_MS
-   */
-  readonly drainQuietMs?: number;
-}
-
-/** A running node. */
-export interface Node {
-  readonly kernel: Kernel;
-  readonly incarnation: string;
-  readonly dataAddress: string;
-  readonly adminAddress: string;
-  readonly controlAddress: string;
-  readonly readiness: () => Readiness;
-  readonly status: () => NodeStatus;
-  /** Number of instances that the node knows. */
-  readonly knownInstances: () => number;
-  /** Says that it is leaving, finishes what is in flight, and closes. */
-  readonly drain: () => Promise<void>;
-  /** Ends at once, as when the process is killed. */
-  readonly kill: () => Promise<void>;
-}
-
-/** The page `/status`. */
-export interface NodeStatus {
-  readonly instance: string;
-  readonly service: string;
-  readonly dataCentre: string;
-  readonly incarnation: string;
-  readonly readiness: Readiness;
-  readonly leaving: boolean;
-  readonly bundles: readonly {
-    readonly scope: string;
-    readonly version: number;
-    readonly digest: string;
-  }[];
-  readonly gate: object;
-  readonly ingress: { readonly inFlight: number };
-  readonly tickets: number;
-  readonly agent: object;
-  readonly upstreams: readonly object[];
-}
-
 function createIncarnation(): string {
   // The start time orders incarnations in gossip; the rest makes them unique.
   return `${Date.now()}-${randomBytes(6).toString("hex")}`;
