fix(policy): start waiting protected work in time at lesser runs' cost

Change: on each event, lesser runs are cancelled for queued protected work that must start now, and at once for kinds that nothing is known of.

--- a/packages/node/src/__tests__/failure_test.ts
+++ b/packages/node/src/__tests__/failure_test.ts
@@ -1,5 +1,7 @@
+import { connect } from "node:net";
 import { findFreePorts } from "@coltsfootdeal/standin";
 import { afterEach, expect, test } from "vitest";
+import { SERVICE } from "../node_types.ts";
 import {
   bundleText,
   knows,
@@ -25,6 +27,14 @@
   return fleet.members[index]?.node.status().bundles[0]?.version ?? 0;
 }
 
+function gossipOf(event: string): number {
+  return fleet.members.filter(({ node }) =>
+    node.kernel.find(SERVICE.audit)._unsafeUnwrap().after(0).some((record) =>
+      record.event === event
+    )
+  ).length;
+}
+
 function runsOf(body: string): number {
   return fleet.members.reduce(
     (sum, { backend }) => sum + (backend.counts().runsByBody.get(body) ?? 0),
@@ -120,6 +130,59 @@
   expect(fine.kind).toBe("answered");
 });
 
+test("a poison call resent through other nodes is known there", async () => {
+  await start(4);
+  const crashes = () =>
+    fleet.members.reduce(
+      (sum, { backend }) => sum + backend.counts().crashes,
+      0,
+    );
+  for (const { node } of fleet.members) {
+    const client = fleet.client("runner-1", [node.dataAddress]);
+    await client.call({
+      service: "seals",
+      kind: "check",
+      body: "poison",
+      deadlineMs: 2_000,
+    });
+    const before = crashes();
+    // The deaths travel by gossip before the call is sent again.
+    const known = () => gossipOf("backend_died") >= Math.min(1, before);
+    await until(known, "the death is recorded");
+    await new Promise((resolve) => setTimeout(resolve, 600));
+  }
+  expect(crashes()).toBeLessThanOrEqual(2);
+});
+
+test("a leaving node still answers on idle connections", async () => {
+  await start(2);
+  const leaving = fleet.members[0];
+  const [host = "", port = ""] = leaving?.node.dataAddress.split(":") ?? [];
+  const socket = connect(Number(port), host);
+  let text = "";
+  socket.on("data", (data) => {
+    text += data.toString();
+  });
+  const request = [
+    "POST /v1/call/seals/check HTTP/1.1",
+    "host: node",
+    "coltsfootdeal-account: office",
+    "coltsfootdeal-caller: runner-1",
+    "coltsfootdeal-deadline-ms: 2000",
+    "content-length: 4",
+    "",
+    "body",
+  ].join("\r\n");
+  socket.write(request);
+  await until(() => text.includes("answered"), "the first answer");
+  const drained = leaving?.node.drain();
+  await new Promise((resolve) => setTimeout(resolve, 500));
+  socket.write(request);
+  await until(() => text.includes("leaving"), "a refusal, not a reset");
+  expect(text).toContain("coltsfootdeal-outcome: refused");
+  await drained;
+});
+
 test("a call that its caller gives up is cancelled on the backend server", async () => {
   await start(1, 2_000);
   const client = fleet.client("runner-1");
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -121,6 +121,7 @@
   const callerRuns = new Map<string, number>();
   let aloneRuns = 0;
   let waitingRuns = 0;
+  let cancellingRuns = 0;
   let startedSum = 0;
   let expectedSum = 0;
   let protectedRefusedAt = -Infinity;
@@ -289,9 +290,33 @@
     return [refuse(work, "overload", now)];
   }
 
+  /** Whether queued protected work will be late unless it starts at once. */
+  function isEndangered({ kind, deadlineAt }: Work, now: number): boolean {
+    const run = times.ofKind(kind) * slowness(now) * LONGEST_SHARE;
+    // Nothing is known of the kind: it may need all the time it has.
+    return run === 0 || now + run >= deadlineAt;
+  }
+
+  /** Cancels a lesser run for each endangered piece of protected work. */
+  function rescue(now: number): GateAction[] {
+    if (queue.countFrom(PROTECTED_LEVEL) === 0) return [];
+    let needed = -cancellingRuns;
+    for (const { work } of queue.entries()) {
+      if (isProtected(work) && isEndangered(work, now)) needed++;
+    }
+    const actions: GateAction[] = [];
+    while (needed-- > 0) {
+      const victim = runningVictim(PROTECTED_LEVEL);
+      if (victim === undefined) break;
+      actions.push(...cancelRun(victim));
+    }
+    return actions;
+  }
+
   function cancelRun(run: Run): GateAction[] {
     if (run.cancelling) return [];
     run.cancelling = true;
+    cancellingRuns++;
     return [{ kind: "cancel", work: run.work }];
   }
 
@@ -308,7 +333,8 @@
       if (free) return [...before, start(work, now)];
       // What is queued ahead may be of a kind that must wait although slots
       // are free, so the queue is looked at again.
-      return [...before, ...admitBusy(work, now), ...fill(now)];
+      const actions = [...before, ...admitBusy(work, now), ...fill(now)];
+      return [...actions, ...rescue(now)];
     },
     finish: (id, finish, { now }) => {
       const run = runs.get(id);
@@ -321,6 +347,7 @@
       countUp(callerRuns, run.work.caller, -1);
       if (run.work.alone) aloneRuns--;
       if (run.waits) waitingRuns--;
+      if (run.cancelling) cancellingRuns--;
       if (finish.nested) nesting.learn(run.work.kind);
       limit.observe(sample, now);
       if (isThrottled(run.work)) {
@@ -329,7 +356,7 @@
       if (!finish.shed && !run.cancelling) {
         times.observe(run.work.kind, now - run.startedAt);
       }
-      return fill(now);
+      return [...fill(now), ...rescue(now)];
     },
     abandon: (id, now) => {
       queue.remove(id);
@@ -344,7 +371,7 @@
           late.push(...cancelRun(run));
         }
       }
-      return [...late, ...fill(now)];
+      return [...late, ...fill(now), ...rescue(now)];
     },
     configure: (next) => {
       config = next;
