--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -57,6 +57,17 @@
     return apart && from.dataCentre !== to.dataCentre;
   }
 
+  /** Whether a paused gate gave the call back too late for any other one. */
+  function isHeldUp(call: SimulatedCall, arrivedAt: number): boolean {
+    const { service } = call.tree;
+    const found = workload.services.find(({ name }) => name === service);
+    const shortestMs = (found?.serviceMs ?? 0) / 2;
+    if (call.deadlineAt - timeline.now() >= shortestMs) return false;
+    return members.some((member) =>
+      member.service === service && member.pausedAfter(arrivedAt)
+    );
+  }
+
   function countInversion(
     origin: Member,
     call: SimulatedCall,
@@ -65,9 +76,10 @@
     // A process that was paused refuses late what nobody waits for any more.
     if (timeline.now() >= call.deadlineAt) return;
     const { service } = call.tree;
+    if (isHeldUp(call, arrivedAt)) return;
     const slack = 2 * workload.remoteLatencyMs;
     const broken = members.some((member) =>
-      member.service === service && !member.isPaused() &&
+      member.service === service && !member.pausedAfter(arrivedAt) &&
       // A backend server that was down when the call asked was out of reach.
       !member.backend.isDown() && member.backend.upSince() <= arrivedAt &&
       !member.isLeaving() && !isCut(origin, member) &&
--- a/packages/bench/src/sim_node.ts
+++ b/packages/bench/src/sim_node.ts
@@ -106,6 +106,7 @@
     },
     incarnation: () => String(incarnation),
     isPaused: () => pausedUntil > timeline.now(),
+    pausedAfter: (at) => pausedUntil > at,
     isLeaving: () => leaving || gate.backend.isLeaving(),
   };
   return self;
--- a/packages/bench/src/sim_types.ts
+++ b/packages/bench/src/sim_types.ts
@@ -66,6 +66,8 @@
   /** Stops the process for a while; what arrives waits. */
   readonly pause: (pauseMs: number) => void;
   readonly isPaused: () => boolean;
+  /** Whether it was paused at any time after `at`. */
+  readonly pausedAfter: (at: number) => boolean;
   /** Starts anew, as a replacement of an instance that has left. */
   readonly replace: () => void;
   readonly isLeaving: () => boolean;
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -4,6 +4,7 @@
  */
 
 import {
+  FLOOR_CAUTION,
   FLOOR_SUSPENSION_MS,
   LONGEST_SHARE,
   PROTECTED_LEVEL,
@@ -195,7 +196,7 @@
     for (const { work } of queue.entries()) {
       if (!isProtected(work)) continue;
       const usual = rounds * times.overall() + times.ofKind(work.kind);
-      const needed = usual * slowness(now);
+      const needed = usual * slowness(now) * FLOOR_CAUTION;
       if (now + needed > work.deadlineAt) return false;
     }
     return true;
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -16,6 +16,8 @@
 export const QUEUE_ENTRIES_PER_SLOT = 4;
 /** Fewest queue entries a gate allows. */
 export const QUEUE_ENTRIES_MIN = 16;
+/** Slowdown that waiting protected work must bear for floors to be kept. */
+export const FLOOR_CAUTION = 10;
 /** Time for which floors are suspended after protected work was refused. */
 export const FLOOR_SUSPENSION_MS = 1_000;
 /** Longest run of a kind that is planned for, as a share of its average. */
