refactor(policy): the runs in flight apart from admission

Change: running.ts holds the runs and what is counted of them; a constant and an audit event that nothing used are gone.

--- a/packages/bench/src/constants.ts
+++ b/packages/bench/src/constants.ts
@@ -12,8 +12,6 @@
 export const HEALTH_MS = 1_000;
 /** Time for gossip to reach all nodes of a service. */
 export const GOSSIP_MS = 200;
-/** Lag of the platform's instance list. */
-export const LIST_LAG_MS = 30_000;
 /** Load before and after the pressure, as a share of capacity. */
 export const CALM_LOAD = 0.8;
 /** Width of the windows in which recovery is looked for. */
--- a/packages/node/src/admin/audit.ts
+++ b/packages/node/src/admin/audit.ts
@@ -20,7 +20,6 @@
   | "platform_unreachable"
   | "backend_died"
   | "backend_leaving"
-  | "call_quarantined"
   | "paused"
   | "draining"
   | "drained";
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -15,6 +15,7 @@
 } from "./constants.ts";
 import { depthOf, isRequestLevel } from "./level.ts";
 import { createNesting } from "./nesting.ts";
+import { createRunning, type Run } from "./running.ts";
 import { createLimit } from "./limit.ts";
 import { createServiceTime } from "./service_time.ts";
 import { createThrottle } from "./throttle.ts";
@@ -80,22 +81,6 @@
 
 type Refusal = Extract<GateAction, { readonly kind: "refuse" }>;
 
-interface Run {
-  readonly work: Work;
-  readonly startedAt: number;
-  /** Time that it was expected to take. */
-  readonly expectedMs: number;
-  /** Whether it was counted as a run that waits for others. */
-  readonly waits: boolean;
-  cancelling: boolean;
-}
-
-function countUp(counts: Map<string, number>, key: string, by: number): void {
-  const next = (counts.get(key) ?? 0) + by;
-  if (next <= 0) counts.delete(key);
-  else counts.set(key, next);
-}
-
 function isProtected(work: Work): boolean {
   return work.level >= PROTECTED_LEVEL;
 }
@@ -117,37 +102,21 @@
   const times = createServiceTime();
   const throttle = createThrottle();
   const nesting = createNesting();
-  const runs = new Map<string, Run>();
-  const kindRuns = new Map<string, number>();
-  const callerRuns = new Map<string, number>();
-  let aloneRuns = 0;
-  let waitingRuns = 0;
-  let cancellingRuns = 0;
-  let startedSum = 0;
-  let expectedSum = 0;
+  const runs = createRunning();
   let protectedRefusedAt = -Infinity;
   let leaving = false;
 
   function choiceAt(now: number): Choice {
     return {
       isOpen: (kind, level) => isOpen(kind, level, now),
-      kindUse: (kind) => kindRuns.get(kind) ?? 0,
-      callerUse: (caller) => callerRuns.get(caller) ?? 0,
+      kindUse: runs.ofKind,
+      callerUse: runs.ofCaller,
     };
   }
 
-  /**
-   * How much slower than usual the runs in flight are. They tell of a
-   * slowdown before the first of them has finished.
-   */
-  function slowness(now: number): number {
-    if (runs.size === 0 || expectedSum <= 0) return 1;
-    return Math.max(1, (runs.size * now - startedSum) / expectedSum);
-  }
-
   function waitFrom(level: number, now: number): number {
     const ahead = queue.countFrom(level);
-    return (ahead * times.overall() * slowness(now)) / limit.current();
+    return (ahead * times.overall() * runs.slowness(now)) / limit.current();
   }
 
   function refuse(
@@ -163,14 +132,7 @@
   function start(work: Work, now: number): GateAction {
     const waits = nesting.waits(work.kind);
     const expectedMs = times.ofKind(work.kind);
-    const run = { work, startedAt: now, expectedMs, waits };
-    runs.set(work.id, { ...run, cancelling: false });
-    startedSum += now;
-    expectedSum += expectedMs;
-    countUp(kindRuns, work.kind, 1);
-    countUp(callerRuns, work.caller, 1);
-    if (work.alone) aloneRuns++;
-    if (waits) waitingRuns++;
+    runs.start(work, { now, expectedMs, waits });
     return { kind: "run", work };
   }
 
@@ -178,14 +140,14 @@
   function isOpen(kind: string, level: number, now: number): boolean {
     if (level >= PROTECTED_LEVEL || !nesting.waits(kind)) return true;
     const share = nesting.share(depthOf(level), now);
-    return waitingRuns < Math.max(1, Math.floor(limit.current() * share));
+    return runs.waiting() < Math.max(1, Math.floor(limit.current() * share));
   }
 
   function hasRoomFor(work: Work, now: number): boolean {
-    if (aloneRuns > 0) return false;
-    if (work.alone) return runs.size === 0;
+    if (runs.alone() > 0) return false;
+    if (work.alone) return runs.size() === 0;
     if (!isOpen(work.kind, work.level, now)) return false;
-    return runs.size < limit.current();
+    return runs.size() < limit.current();
   }
 
   /** Whether the queued protected work still fits if one slot goes elsewhere. */
@@ -196,7 +158,7 @@
     for (const { work } of queue.entries()) {
       if (!isProtected(work)) continue;
       const usual = rounds * times.overall() + times.ofKind(work.kind);
-      const needed = usual * slowness(now) * FLOOR_CAUTION;
+      const needed = usual * runs.slowness(now) * FLOOR_CAUTION;
       if (now + needed > work.deadlineAt) return false;
     }
     return true;
@@ -206,7 +168,7 @@
     if (now - protectedRefusedAt < FLOOR_SUSPENSION_MS) return undefined;
     for (const [kind, floor] of config.floors) {
       const guaranteed = Math.ceil(floor * limit.current());
-      if ((kindRuns.get(kind) ?? 0) >= guaranteed) continue;
+      if (runs.ofKind(kind) >= guaranteed) continue;
       if (queue.chooseOfKind(kind, choiceAt(now)) === undefined) continue;
       return protectedCanWait(now) ? kind : undefined;
     }
@@ -236,18 +198,6 @@
     }
   }
 
-  /** The running work that gives way first to work of the given level. */
-  function runningVictim(level: number): Run | undefined {
-    let victim: Run | undefined;
-    for (const run of runs.values()) {
-      const { work } = run;
-      if (run.cancelling || !work.cancellable || work.level >= level) continue;
-      if (victim !== undefined && work.level >= victim.work.level) continue;
-      victim = run;
-    }
-    return victim;
-  }
-
   function queueBound(): number {
     const bound = config.slots * QUEUE_ENTRIES_PER_SLOT;
     return Math.max(QUEUE_ENTRIES_MIN, bound);
@@ -256,7 +206,7 @@
   function fits(work: Work, now: number): boolean {
     const wait = waitFrom(work.level, now);
     if (!isProtected(work) && wait > queueWaitMs) return false;
-    const run = times.ofKind(work.kind) * slowness(now) * LONGEST_SHARE;
+    const run = times.ofKind(work.kind) * runs.slowness(now) * LONGEST_SHARE;
     return now + wait + run <= work.deadlineAt;
   }
 
@@ -273,7 +223,7 @@
 
   /** Puts protected work in the place of running work that may be cancelled. */
   function displaceFor(work: Work, now: number): GateAction[] {
-    const victim = runningVictim(PROTECTED_LEVEL);
+    const victim = runs.victim(PROTECTED_LEVEL);
     if (victim === undefined) return [refuse(work, "overload", now)];
     // One more than the bound is queued for each run that is cancelled.
     const evicted = evictFor(work, now) ?? [];
@@ -293,7 +243,7 @@
 
   /** Whether queued protected work will be late unless it starts at once. */
   function isEndangered({ kind, deadlineAt }: Work, now: number): boolean {
-    const run = times.ofKind(kind) * slowness(now) * LONGEST_SHARE;
+    const run = times.ofKind(kind) * runs.slowness(now) * LONGEST_SHARE;
     // Nothing is known of the kind: it may need all the time it has.
     return run === 0 || now + run >= deadlineAt;
   }
@@ -301,24 +251,21 @@
   /** Cancels a lesser run for each endangered piece of protected work. */
   function rescue(now: number): GateAction[] {
     if (queue.countFrom(PROTECTED_LEVEL) === 0) return [];
-    let needed = -cancellingRuns;
+    let needed = -runs.cancelling();
     for (const { work } of queue.entries()) {
       if (isProtected(work) && isEndangered(work, now)) needed++;
     }
     const actions: GateAction[] = [];
     while (needed-- > 0) {
-      const victim = runningVictim(PROTECTED_LEVEL);
+      const victim = runs.victim(PROTECTED_LEVEL);
       if (victim === undefined) break;
       actions.push(...cancelRun(victim));
     }
     return actions;
   }
 
-  function cancelRun(run: Run): GateAction[] {
-    if (run.cancelling) return [];
-    run.cancelling = true;
-    cancellingRuns++;
-    return [{ kind: "cancel", work: run.work }];
+  function cancelRun({ work }: Run): GateAction[] {
+    return runs.cancel(work.id) ? [{ kind: "cancel", work }] : [];
   }
 
   return {
@@ -338,17 +285,10 @@
       return [...actions, ...rescue(now)];
     },
     finish: (id, finish, { now }) => {
-      const run = runs.get(id);
+      const inFlight = runs.size();
+      const run = runs.end(id);
       if (run === undefined) return [];
-      const sample = { inFlight: runs.size, overloaded: finish.shed };
-      runs.delete(id);
-      startedSum -= run.startedAt;
-      expectedSum -= run.expectedMs;
-      countUp(kindRuns, run.work.kind, -1);
-      countUp(callerRuns, run.work.caller, -1);
-      if (run.work.alone) aloneRuns--;
-      if (run.waits) waitingRuns--;
-      if (run.cancelling) cancellingRuns--;
+      const sample = { inFlight, overloaded: finish.shed };
       if (finish.nested) nesting.learn(run.work.kind);
       limit.observe(sample, now);
       if (isThrottled(run.work)) {
@@ -361,13 +301,13 @@
     },
     abandon: (id, now) => {
       queue.remove(id);
-      const run = runs.get(id);
+      const run = runs.find(id);
       const cancels = run?.work.cancellable ? cancelRun(run) : [];
       return [...cancels, ...fill(now)];
     },
     tick: (now) => {
       const late: GateAction[] = [];
-      for (const run of runs.values()) {
+      for (const run of runs.all()) {
         if (run.work.deadlineAt <= now && run.work.cancellable) {
           late.push(...cancelRun(run));
         }
@@ -390,13 +330,13 @@
         break;
       }
       return {
-        inFlight: runs.size,
+        inFlight: runs.size(),
         queued: queue.size(),
         limit: limit.current(),
         acceptLevel,
         leaving,
       };
     },
-    idle: () => runs.size === 0 && queue.size() === 0,
+    idle: () => runs.size() === 0 && queue.size() === 0,
   };
 }
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -16,6 +16,7 @@
 export * from "./readers.ts";
 export * from "./retry_budget.ts";
 export * from "./router.ts";
+export * from "./running.ts";
 export * from "./service_time.ts";
 export * from "./spread.ts";
 export * from "./subset.ts";
