refactor: what the change wrote twice or left behind

Cause: a read of the whole change: queue entries wrapped work in an object whose other field was gone, the gate kept digests that its jobs hold, both kinds of answer built the same headers, a function in home.ts returned its argument, and two methods had no caller. Change: the queue holds work; digests are read from the jobs; one function makes the headers; the rest is gone.

--- a/packages/bench/src/variants.ts
+++ b/packages/bench/src/variants.ts
@@ -44,7 +44,6 @@
       acceptLevel: 0,
       leaving: false,
     }),
-    idle: () => inFlight === 0,
   };
 }
 
@@ -89,7 +88,6 @@
       acceptLevel: 0,
       leaving: false,
     }),
-    idle: () => running.size === 0 && queue.length === 0,
   };
 }
 
--- a/packages/node/src/gate/gate.ts
+++ b/packages/node/src/gate/gate.ts
@@ -119,7 +119,6 @@
     wait: () => new Promise((resolve) => clock.after(DEATH_WINDOW_MS, resolve)),
     onDeath: (runIds) => recordDeath(runIds),
   });
-  const digests = new Map<string, string>();
   const task = createTask<Message>(handle);
   const ticker = clock.every(GATE_TICK_MS, () => {
     if (jobs.size > 0) task.post({ kind: "tick" });
@@ -127,7 +126,8 @@
 
   function recordDeath(runIds: readonly string[]): void {
     deaths++;
-    const running = runIds.map((runId) => digests.get(runId) ?? "");
+    // Lost jobs are kept until it is known whether this was a death.
+    const running = runIds.map((runId) => jobs.get(runId)?.call.digest ?? "");
     lastDeath = {
       id: `${config.instance}/${config.incarnation}/${deaths}`,
       instance: config.instance,
@@ -154,7 +154,6 @@
 
   function finish(job: Job, answer: Answer, death?: Death): void {
     jobs.delete(job.call.id);
-    digests.delete(job.call.id);
     const unspent = job.started ? ledger.close(job.call.id) : 0;
     if (job.started) chains.close(job.call.id);
     const slotMs = job.started ? clock.now() - job.startedAt : 0;
@@ -172,7 +171,6 @@
     ledger.open(call.id, call.allowance);
     const { level, weight, deadlineAt } = call;
     chains.open(call.id, { level, weight, deadlineAt });
-    digests.set(call.id, call.digest);
     losses.started(call.id);
     const running = config.backend.run({
       runId: call.id,
--- a/packages/node/src/ingress/data_api.ts
+++ b/packages/node/src/ingress/data_api.ts
@@ -116,7 +116,8 @@
     [HEADER.incarnation]: config.incarnation,
   };
 
-  function toCaller(answer: Answer): Response {
+  /** What an answer says of itself, to callers and nodes alike. */
+  function answerHeaders(answer: Answer): Record<string, string> {
     const headers: Record<string, string> = {
       ...identity,
       ...outcomeHeaders(answer.outcome),
@@ -125,28 +126,27 @@
       headers[HEADER.status] = String(answer.status);
     }
     if (answer.contentType) headers["content-type"] = answer.contentType;
+    if (config.leaving()) headers["connection"] = "close";
+    return headers;
+  }
+
+  function toCaller(answer: Answer): Response {
+    const headers = answerHeaders(answer);
     if (answer.outcome.kind === "refused" && answer.outcome.retryAfterMs > 0) {
       const seconds = Math.ceil(answer.outcome.retryAfterMs / 1_000);
       headers["retry-after"] = String(seconds);
     }
-    if (config.leaving()) headers["connection"] = "close";
     return respond(answer.body, { status: statusOf(answer), headers });
   }
 
   function toNode(reply: GateReply): Response {
     const { answer, unspent, death } = reply;
     const headers: Record<string, string> = {
-      ...identity,
-      ...outcomeHeaders(answer.outcome),
+      ...answerHeaders(answer),
       [HEADER.load]: formatLoad(gate.load()),
       [HEADER.unspent]: String(unspent),
       [HEADER.slot]: String(Math.round(reply.slotMs)),
     };
-    if (answer.status !== undefined) {
-      headers[HEADER.status] = String(answer.status);
-    }
-    if (answer.contentType) headers["content-type"] = answer.contentType;
-    if (config.leaving()) headers["connection"] = "close";
     if (death !== undefined) headers[HEADER.death] = formatDeath(death);
     return respond(answer.body, { status: 200, headers });
   }
--- a/packages/node/src/ingress/forwarder.ts
+++ b/packages/node/src/ingress/forwarder.ts
@@ -107,11 +107,11 @@
     case "not_sent":
       return { kind: "unreachable" };
     case "lost":
-      return unknown("connection_lost") as AttemptEnd;
+      return { kind: "unknown", reason: "connection_lost" };
     case "truncated":
-      return unknown("truncated") as AttemptEnd;
+      return { kind: "unknown", reason: "truncated" };
     case "aborted":
-      return unknown("cancelled") as AttemptEnd;
+      return { kind: "unknown", reason: "cancelled" };
   }
 }
 
--- a/packages/node/src/ingress/home.ts
+++ b/packages/node/src/ingress/home.ts
@@ -1,6 +1,6 @@
 /** Hands calls on to the home of their ticket. */
 
-import { type Outcome, refused, unknown } from "@coltsfootdeal/policy";
+import { unknown } from "@coltsfootdeal/policy";
 import { type Answer, bareAnswer } from "../answer.ts";
 import { HEADER, readWholeNumber } from "../headers.ts";
 import type { HttpClient } from "../http_client.ts";
@@ -32,13 +32,6 @@
   };
 }
 
-/** Only a refusal by the home itself is one; any loss on the way is unknown. */
-function relayed(outcome: Outcome): Outcome {
-  return outcome.kind === "refused"
-    ? refused(outcome.reason, outcome.retryAfterMs)
-    : outcome;
-}
-
 /** Creates a forwarder to homes. */
 export function createHomeForwarder(
   config: HomeForwarderConfig,
@@ -64,8 +57,9 @@
       const reason = gone ? "ticket_home_gone" : "connection_lost";
       return bareAnswer(unknown(reason));
     }
+    // Only a refusal by the home itself is one.
     return {
-      outcome: relayed(parseOutcome(end.headers)),
+      outcome: parseOutcome(end.headers),
       status: readWholeNumber(end.headers[HEADER.status]),
       contentType: end.headers["content-type"],
       body: end.body,
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -14,9 +14,9 @@
   SHORTEST_SHARE,
 } from "./constants.ts";
 import { depthOf, isRequestLevel } from "./level.ts";
+import { createLimit } from "./limit.ts";
 import { createNesting } from "./nesting.ts";
 import { createRunning, type Run } from "./running.ts";
-import { createLimit } from "./limit.ts";
 import { createServiceTime } from "./service_time.ts";
 import { createThrottle } from "./throttle.ts";
 import type { GateAction, Work } from "./work.ts";
@@ -76,7 +76,6 @@
   /** Records that the backend server has been replaced by a cold one. */
   readonly restart: () => void;
   readonly load: (now: number) => GateLoad;
-  readonly idle: () => boolean;
 }
 
 type Refusal = Extract<GateAction, { readonly kind: "refuse" }>;
@@ -155,7 +154,7 @@
     const protectedCount = queue.countFrom(PROTECTED_LEVEL);
     if (protectedCount === 0) return true;
     const rounds = Math.ceil((protectedCount + 1) / limit.current());
-    for (const { work } of queue.entries()) {
+    for (const work of queue.entries()) {
       if (!isProtected(work)) continue;
       const usual = rounds * times.overall() + times.ofKind(work.kind);
       const needed = usual * runs.slowness(now) * FLOOR_CAUTION;
@@ -180,14 +179,14 @@
     const top = queue.choose(choice);
     if (top === undefined) return undefined;
     const floored = config.floors.size > 0 ? kindBelowFloor(now) : undefined;
-    if (floored === undefined) return top.work;
-    return queue.chooseOfKind(floored, choice)?.work ?? top.work;
+    if (floored === undefined) return top;
+    return queue.chooseOfKind(floored, choice) ?? top;
   }
 
   function fill(now: number): GateAction[] {
     const actions: GateAction[] = [];
     const shortest = (kind: string) => times.ofKind(kind) * SHORTEST_SHARE;
-    for (const { work } of queue.expire(now, shortest)) {
+    for (const work of queue.expire(now, shortest)) {
       actions.push(refuse(work, "deadline", now));
     }
     for (;;) {
@@ -214,11 +213,11 @@
   function evictFor(work: Work, now: number): GateAction[] | undefined {
     if (queue.size() < queueBound()) return [];
     const victim = queue.chooseVictim(choiceAt(now));
-    if (victim === undefined || victim.work.level >= work.level) {
+    if (victim === undefined || victim.level >= work.level) {
       return undefined;
     }
-    queue.remove(victim.work.id);
-    return [refuse(victim.work, "evicted", now)];
+    queue.remove(victim.id);
+    return [refuse(victim, "evicted", now)];
   }
 
   /** Puts protected work in the place of running work that may be cancelled. */
@@ -227,14 +226,14 @@
     if (victim === undefined) return [refuse(work, "overload", now)];
     // One more than the bound is queued for each run that is cancelled.
     const evicted = evictFor(work, now) ?? [];
-    queue.push({ work });
+    queue.push(work);
     return [...evicted, ...cancelRun(victim)];
   }
 
   function admitBusy(work: Work, now: number): GateAction[] {
     const evicted = fits(work, now) ? evictFor(work, now) : undefined;
     if (evicted !== undefined) {
-      queue.push({ work });
+      queue.push(work);
       return evicted;
     }
     if (isProtected(work)) return displaceFor(work, now);
@@ -252,7 +251,7 @@
   function rescue(now: number): GateAction[] {
     if (queue.countFrom(PROTECTED_LEVEL) === 0) return [];
     let needed = -runs.cancelling();
-    for (const { work } of queue.entries()) {
+    for (const work of queue.entries()) {
       if (isProtected(work) && isEndangered(work, now)) needed++;
     }
     const actions: GateAction[] = [];
@@ -337,6 +336,5 @@
         leaving,
       };
     },
-    idle: () => runs.size() === 0 && queue.size() === 0,
   };
 }
--- a/packages/policy/src/suspects.ts
+++ b/packages/policy/src/suspects.ts
@@ -35,8 +35,6 @@
   readonly suspicion: (digest: string, now: number) => Suspicion;
   /** Clears a suspect that ran alone without harm. */
   readonly clear: (digest: string, now: number) => void;
-  /** Deaths that are still remembered. */
-  readonly recent: (now: number) => readonly Death[];
 }
 
 /** Creates an empty record. */
@@ -109,9 +107,5 @@
     clear: (digest, now) => {
       if (byDigest.has(digest)) cleared.set(digest, now);
     },
-    recent: (now) => {
-      expire(now);
-      return [...deaths.values()];
-    },
   };
 }
--- a/packages/policy/src/work_queue.ts
+++ b/packages/policy/src/work_queue.ts
@@ -2,11 +2,6 @@
 
 import type { Work } from "./work.ts";
 
-/** A queued piece of work. */
-export interface QueueEntry {
-  readonly work: Work;
-}
-
 /** How the next entry of a level is chosen. */
 export interface Choice {
   /** Whether work of a kind and level may be started at present. */
@@ -20,27 +15,27 @@
 /** Queued work, ordered by importance. */
 export interface WorkQueue {
   readonly size: () => number;
-  readonly push: (entry: QueueEntry) => void;
-  readonly remove: (id: string) => QueueEntry | undefined;
+  readonly push: (work: Work) => void;
+  readonly remove: (id: string) => Work | undefined;
   /** Entries at `level` or above. */
   readonly countFrom: (level: number) => number;
   /** Levels in use, the most important first. */
   readonly levels: () => readonly number[];
   /** The entry of the highest level to run next. */
-  readonly choose: (choice: Choice) => QueueEntry | undefined;
+  readonly choose: (choice: Choice) => Work | undefined;
   /** The entry of one kind to run next. */
   readonly chooseOfKind: (
     kind: string,
     choice: Choice,
-  ) => QueueEntry | undefined;
+  ) => Work | undefined;
   /** The entry to give up first: lowest level, greediest kind and caller. */
-  readonly chooseVictim: (choice: Choice) => QueueEntry | undefined;
+  readonly chooseVictim: (choice: Choice) => Work | undefined;
   /** Removes and returns the entries that cannot finish in time. */
   readonly expire: (
     now: number,
     timeOf: (kind: string) => number,
-  ) => readonly QueueEntry[];
-  readonly entries: () => Iterable<QueueEntry>;
+  ) => readonly Work[];
+  readonly entries: () => Iterable<Work>;
 }
 
 function leastBy<Item>(
@@ -60,16 +55,16 @@
 
 /** Creates an empty queue. */
 export function createWorkQueue(): WorkQueue {
-  const byId = new Map<string, QueueEntry>();
-  const byLevel = new Map<number, Map<string, Set<QueueEntry>>>();
+  const byId = new Map<string, Work>();
+  const byLevel = new Map<number, Map<string, Set<Work>>>();
   const counts = new Map<number, number>();
   let levels: readonly number[] = [];
 
-  function remove(id: string): QueueEntry | undefined {
+  function remove(id: string): Work | undefined {
     const entry = byId.get(id);
     if (entry === undefined) return undefined;
     byId.delete(id);
-    const { level, kind } = entry.work;
+    const { level, kind } = entry;
     const kinds = byLevel.get(level);
     const entries = kinds?.get(kind);
     entries?.delete(entry);
@@ -83,8 +78,8 @@
     return entry;
   }
 
-  function push(entry: QueueEntry): void {
-    const { id, level, kind } = entry.work;
+  function push(entry: Work): void {
+    const { id, level, kind } = entry;
     byId.set(id, entry);
     let kinds = byLevel.get(level);
     if (kinds === undefined) {
@@ -98,13 +93,13 @@
   }
 
   function nextOf(
-    entries: Iterable<QueueEntry>,
+    entries: Iterable<Work>,
     choice: Choice,
-  ): QueueEntry | undefined {
-    return leastBy(entries, (entry) => choice.callerUse(entry.work.caller));
+  ): Work | undefined {
+    return leastBy(entries, (entry) => choice.callerUse(entry.caller));
   }
 
-  function chooseAt(level: number, choice: Choice): QueueEntry | undefined {
+  function chooseAt(level: number, choice: Choice): Work | undefined {
     const kinds = byLevel.get(level);
     if (kinds === undefined) return undefined;
     const open = [...kinds.keys()].filter((kind) => choice.isOpen(kind, level));
@@ -114,7 +109,7 @@
       : nextOf(kinds.get(kind) ?? [], choice);
   }
 
-  function victimAt(level: number, choice: Choice): QueueEntry | undefined {
+  function victimAt(level: number, choice: Choice): Work | undefined {
     const kinds = byLevel.get(level);
     if (kinds === undefined) return undefined;
     const kind = leastBy(
@@ -123,11 +118,11 @@
     );
     const entries = [...(kinds.get(kind ?? "") ?? [])];
     const held = new Map<string, number>();
-    for (const { work } of entries) {
-      held.set(work.caller, (held.get(work.caller) ?? 0) + 1);
+    for (const { caller } of entries) {
+      held.set(caller, (held.get(caller) ?? 0) + 1);
     }
     entries.reverse();
-    return leastBy(entries, ({ work }) => -(held.get(work.caller) ?? 0));
+    return leastBy(entries, ({ caller }) => -(held.get(caller) ?? 0));
   }
 
   return {
@@ -163,12 +158,12 @@
       return bottom === undefined ? undefined : victimAt(bottom, choice);
     },
     expire: (now, timeOf) => {
-      const expired: QueueEntry[] = [];
+      const expired: Work[] = [];
       for (const entry of byId.values()) {
-        const { deadlineAt, kind } = entry.work;
+        const { deadlineAt, kind } = entry;
         if (deadlineAt <= now + timeOf(kind)) expired.push(entry);
       }
-      for (const entry of expired) remove(entry.work.id);
+      for (const entry of expired) remove(entry.id);
       return expired;
     },
     entries: () => byId.values(),
