refactor(node): one writer of loopback settings; bundle sync out of the agent

Change: formatLoopbackSettings; bundle_sync.ts. An adopted bundle no longer rebuilds the routes, which depend on membership alone.

--- a/packages/bench/src/real_fleet.ts
+++ b/packages/bench/src/real_fleet.ts
@@ -9,6 +9,7 @@
 import {
   createSilentLog,
   createSystemClock,
+  formatLoopbackSettings,
   type Node,
   resolveSettings,
   startNode,
@@ -105,31 +106,20 @@
       serviceMs,
     });
     backends.push(backend);
-    const [data, admin, control] = ports.slice(index * 3, index * 3 + 3);
     const places = Array.from(
       { length: options.dataCentres },
       (_, place) => `dc-${(index + place) % options.dataCentres}`,
     );
-    const seed = ports[2];
-    const settings = resolveSettings(`
-[node]
-instance = echo-${index}
-service = echo
-data_centre = ${places[0]}
-other_data_centres = ${places.slice(1).join(", ")}
-[listen]
-data = 127.0.0.1:${data}
-admin = 127.0.0.1:${admin}
-control = 127.0.0.1:${control}
-[backend]
-address = ${backend.address}
-[platform]
-address = ${platform.address}
-[trust]
-keys = ${pair.publicText}
-[peers]
-seeds = 127.0.0.1:${seed}
-`)._unsafeUnwrap();
+    const settings = resolveSettings(formatLoopbackSettings({
+      instance: `echo-${index}`,
+      service: "echo",
+      dataCentres: places,
+      ports: ports.slice(index * 3, index * 3 + 3),
+      backend: backend.address,
+      platform: platform.address,
+      key: pair.publicText,
+      seeds: [`127.0.0.1:${ports[2]}`],
+    }))._unsafeUnwrap();
     const started = await startNode(settings, {
       clock: createSystemClock(),
       log: createSilentLog(),
--- a/packages/node/src/__tests__/harness.ts
+++ b/packages/node/src/__tests__/harness.ts
@@ -19,7 +19,7 @@
 import { createSilentLog } from "../log.ts";
 import { startNode } from "../node.ts";
 import type { Node } from "../node_types.ts";
-import { resolveSettings } from "../settings.ts";
+import { formatLoopbackSettings, resolveSettings } from "../settings.ts";
 
 /** Bundle text of the test service. */
 export function bundleText(version: number, extra = ""): string {
@@ -125,27 +125,17 @@
         serviceMs: 5,
         ...options.backend,
       });
-      const [data, admin, free] = await findFreePorts(3);
-      const control = options.control ?? free;
-      const settings = resolveSettings(`
-[node]
-instance = ${id}
-service = seals
-data_centre = ${dataCentre}
-other_data_centres = ${other}
-[listen]
-data = 127.0.0.1:${data}
-admin = 127.0.0.1:${admin}
-control = 127.0.0.1:${control}
-[backend]
-address = ${backend.address}
-[platform]
-address = ${platform.address}
-[trust]
-keys = ${operator.publicText}
-[peers]
-seeds = ${(options.seeds ?? []).join(", ")}
-`)._unsafeUnwrap();
+      const [data = 0, admin = 0, free = 0] = await findFreePorts(3);
+      const settings = resolveSettings(formatLoopbackSettings({
+        instance: id,
+        service: "seals",
+        dataCentres: [dataCentre, other],
+        ports: [data, admin, options.control ?? free],
+        backend: backend.address,
+        platform: platform.address,
+        key: operator.publicText,
+        seeds: options.seeds ?? [],
+      }))._unsafeUnwrap();
       const started = await startNode(settings, {
         clock: createSystemClock(),
         log: createSilentLog(),
--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -5,7 +5,6 @@
 import {
   BOOTSTRAP_SPREAD_MS,
   COMPARE_PERIOD_MS,
-  compareVersions,
   createMembership,
   createReaders,
   createSpread,
@@ -24,6 +23,7 @@
 import { READER_PERIOD_MS } from "../constants.ts";
 import { formatAddress, type Settings } from "../settings.ts";
 import type { BundleStore } from "./bundle_store.ts";
+import { createBundleSync } from "./bundle_sync.ts";
 import type { ControlHandler, Identity, PulledValue } from "./control_api.ts";
 import type { ControlClient } from "./control_client.ts";
 import {
@@ -95,10 +95,16 @@
     dataCentre: settings.dataCentre,
   });
   const seeds = settings.seeds.map(formatAddress).filter((a) => a !== self);
-  const called = new Set<string>();
   const peers = createPeers(self, seeds);
-  const rejected = new Set<string>();
-  const pulling = new Set<string>();
+  const bundles = createBundleSync({
+    self,
+    service: settings.service,
+    clock,
+    store,
+    spread,
+    peers,
+    control,
+  });
   const timers: { readonly close: () => void }[] = [];
   let bootstrapped = seeds.length === 0;
   let closed = false;
@@ -114,21 +120,9 @@
   });
 
   function takeValues(values: readonly PlatformValue[]): void {
-    for (const { key, value } of values) offerBundle(value, `platform ${key}`);
-  }
-
-  function offerBundle(text: string, from: string): boolean {
-    const offered = store.offer(text, from);
-    if (offered.isErr()) return false;
-    const { version, verdict } = offered.value;
-    if (verdict.kind !== "adopted") return true;
-    const { scope, digest } = version;
-    const topic = BUNDLE + scope;
-    const news = { topic, version: version.version, digest, source: self };
-    spread.receive([news], clock.now());
-    for (const head of spread.topics(BUNDLE)) considerBundle(head);
-    refreshRoutes();
-    return true;
+    for (const { key, value } of values) {
+      bundles.offer(value, `platform ${key}`);
+    }
   }
 
   function takeInstances(instances: readonly PlatformInstance[]): void {
@@ -150,7 +144,7 @@
       } else if (item.topic.startsWith(FACT)) {
         changed = learnFact(item) || changed;
       } else if (item.topic.startsWith(DEATH)) learnDeath(item);
-      else if (item.topic.startsWith(BUNDLE)) considerBundle(item);
+      else if (item.topic.startsWith(BUNDLE)) bundles.consider(item);
     }
     if (changed) refreshRoutes();
   }
@@ -187,61 +181,6 @@
     if (death) config.suspects.record({ ...death, at: clock.now() - age });
   }
 
-  /** Fleet, own service, and services that this node calls. */
-  function isWanted(scope: string): boolean {
-    return scope === FLEET_SCOPE || scope === settings.service ||
-      called.has(scope) || store.catalog()?.service(scope) !== undefined;
-  }
-
-  function considerBundle(news: News): void {
-    const scope = news.topic.slice(BUNDLE.length);
-    if (!isWanted(scope) || rejected.has(news.digest)) return;
-    const inForce = store.inForce(scope);
-    if (inForce && compareVersions(news, inForce) <= 0) return;
-    pullBundle(news);
-  }
-
-  async function pullBundle(news: News): Promise<void> {
-    const key = `${news.topic}@${news.digest}`;
-    if (pulling.has(key)) return;
-    pulling.add(key);
-    try {
-      const sources = [news.source, ...peers.draw()];
-      for (const source of sources) {
-        if (source === undefined || source === self || closed) continue;
-        if (await pullFrom(source, news)) return;
-      }
-      // Nobody had it: the next comparison brings it up again.
-      restoreHead(news);
-    } finally {
-      pulling.delete(key);
-    }
-  }
-
-  async function pullFrom(source: string, news: News): Promise<boolean> {
-    const pulled = await control.pull(source, [news.topic]);
-    const value = pulled.isOk() ? pulled.value[0]?.value : undefined;
-    if (value === undefined) return false;
-    if (!offerBundle(value, `peer ${source}`)) {
-      rejected.add(news.digest);
-      restoreHead(news);
-      return true;
-    }
-    const scope = news.topic.slice(BUNDLE.length);
-    return (store.inForce(scope)?.version ?? 0) >= news.version;
-  }
-
-  /** Announced versions count only once they have been verified. */
-  function restoreHead(news: News): void {
-    spread.forget(news.topic);
-    const scope = news.topic.slice(BUNDLE.length);
-    const inForce = store.inForce(scope);
-    if (inForce === undefined) return;
-    const { version, digest } = inForce;
-    const head = { topic: news.topic, version, digest, source: self };
-    spread.receive([head], clock.now());
-  }
-
   function refreshRoutes(): void {
     const now = clock.now();
     for (const service of membership.services()) {
@@ -376,8 +315,8 @@
     want: (service) => {
       const head = spread.find(BUNDLE + service);
       if (head === undefined || store.inForce(service)) return false;
-      called.add(service);
-      considerBundle(head);
+      bundles.addCalled(service);
+      bundles.consider(head);
       return true;
     },
     versionText: () => {
@@ -404,6 +343,7 @@
     }),
     close: () => {
       closed = true;
+      bundles.close();
       watch.close();
       for (const timer of timers) timer.close();
     },
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -142,3 +142,44 @@
     seeds: peers.seeds.map(parseAddress),
   });
 }
+
+/** Settings of a node on loopback, for demos, tests and measurements. */
+export interface LoopbackSettings {
+  readonly instance: string;
+  readonly service: string;
+  /** All data centres, the node's own one first. */
+  readonly dataCentres: readonly string[];
+  /** Ports of the data, admin and control listeners. */
+  readonly ports: readonly number[];
+  /** Addresses with ports. */
+  readonly backend: string;
+  readonly platform: string;
+  /** Public key that the node trusts. */
+  readonly key: string;
+  /** Control addresses of seeds. */
+  readonly seeds?: readonly string[];
+}
+
+/** Writes the settings file of a node on loopback. */
+export function formatLoopbackSettings(node: LoopbackSettings): string {
+  const [dataCentre, ...others] = node.dataCentres;
+  const [data, admin, control] = node.ports;
+  return `[node]
+instance = ${node.instance}
+service = ${node.service}
+data_centre = ${dataCentre}
+other_data_centres = ${others.join(", ")}
+[listen]
+data = 127.0.0.1:${data}
+admin = 127.0.0.1:${admin}
+control = 127.0.0.1:${control}
+[backend]
+address = ${node.backend}
+[platform]
+address = ${node.platform}
+[trust]
+keys = ${node.key}
+[peers]
+seeds = ${(node.seeds ?? []).join(", ")}
+`;
+}
--- a/playground/src/fleet.ts
+++ b/playground/src/fleet.ts
@@ -10,6 +10,7 @@
 import {
   createSilentLog,
   createSystemClock,
+  formatLoopbackSettings,
   type Node,
   resolveSettings,
   startNode,
@@ -80,24 +81,15 @@
     node: () => nodeAddress,
     children: service.children,
   });
-  const [data, admin, control] = await findFreePorts(3);
-  const settings = resolveSettings(`
-[node]
-instance = ${id}
-service = ${service.name}
-data_centre = ${dataCentre}
-other_data_centres = ${others.join(", ")}
-[listen]
-data = 127.0.0.1:${data}
-admin = 127.0.0.1:${admin}
-control = 127.0.0.1:${control}
-[backend]
-address = ${backend.address}
-[platform]
-address = ${platform.address}
-[trust]
-keys = ${options.publicKey}
-`);
+  const settings = resolveSettings(formatLoopbackSettings({
+    instance: id,
+    service: service.name,
+    dataCentres: [dataCentre, ...others],
+    ports: await findFreePorts(3),
+    backend: backend.address,
+    platform: platform.address,
+    key: options.publicKey,
+  }));
   if (settings.isErr()) throw new Error(JSON.stringify(settings.error));
   const started = await startNode(settings.value, {
     clock: createSystemClock(),
