fix(playground): a demo that hangs ends with 1 and says where

Cause: one run of the demo hung for 10 minutes before its first report and told nothing; the target is an end within 30 s with 0 or 1. Change: after 30 s it prints its stage, each node's gate, ingress and runs, and what the process waits for, and ends with 1.

--- a/playground/src/demo.ts
+++ b/playground/src/demo.ts
@@ -47,12 +47,35 @@
 const FLOOD_MS = 2_500;
 const STEADY_GAP_MS = 40;
 const FLOOD_CALLERS = 150;
+/** Time within which the demo ends. */
+const DEMO_LIMIT_MS = 30_000;
 let requests = 0;
+let stage = "start";
+let running: Fleet | undefined;
 
 function print(value: object): void {
   if (asJson) process.stdout.write(`${JSON.stringify(value)}\n`);
 }
 
+/** Names the stage, so that a demo that hangs can tell where. */
+function enter(next: string): void {
+  stage = next;
+  say(next);
+}
+
+/** Ends a demo that hangs, and shows what it waits for. */
+function giveUp(): void {
+  const nodes = (running?.members ?? []).map(({ id, node, backend }) => {
+    const { gate, ingress, leaving } = node.status();
+    return { id, gate, ingress, leaving, runs: backend.counts().inFlight };
+  });
+  const error = `not ended after ${DEMO_LIMIT_MS} ms in: ${stage}`;
+  const resources = process.getActiveResourcesInfo();
+  process.stdout.write(`${JSON.stringify({ error, nodes, resources })}\n`);
+  print({ invariantsHeld: false });
+  process.exit(1);
+}
+
 function say(text: string): void {
   if (!asJson) process.stdout.write(`${text}\n`);
 }
@@ -209,16 +232,18 @@
 async function runDeployment(deployment: Deployment): Promise<boolean> {
   say(`\n${deployment.name}: starting ${deployment.services.length} services`);
   const fleet = await startFleet(deployment);
+  running = fleet;
   const session = createSession(deployment, fleet);
-  say("steady load, then a second bundle");
+  enter("steady load, then a second bundle");
   await session.steady(STEADY_MS);
   await session.roll();
   const { service, kind } = deployment.flood;
-  say(`flood of ${service}/${kind}`);
+  enter(`flood of ${service}/${kind}`);
   await session.flood(FLOOD_MS);
-  say("graceful shutdown of one node under load");
+  enter("graceful shutdown of one node under load");
   await session.shutdown();
   session.judge();
+  stage = "closing the fleet";
   await session.close();
   await fleet.close();
   report(deployment, session);
@@ -243,6 +268,7 @@
 
 async function main(): Promise<void> {
   let invariantsHeld = true;
+  setTimeout(giveUp, DEMO_LIMIT_MS).unref();
   for (const deployment of [createSeloVerde(), createMalabar()]) {
     const held = await runDeployment(deployment);
     invariantsHeld = invariantsHeld && held;
