--- /dev/null
+++ b/playground/src/platform_fleet.ts
@@ -0,0 +1,263 @@
+/**
+ * The bundled platform program as it is deployed, one process beside each
+ * backend server, against stand-ins of store and backend servers on loopback.
+ */
+
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { request } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import {
+  findFreePorts,
+  type KeyStore,
+  type MeshBackend,
+  startKeyStore,
+  startMeshBackend,
+} from "@coltsfootdeal/standin";
+
+const PROGRAM = join(
+  import.meta.dirname,
+  "../../target/coltsfootdeal-platform-node.mjs",
+);
+/** Limits under which deploy/system.toml runs the program. */
+const PROGRAM_FLAGS = ["--max-old-space-size=140", "--max-semi-space-size=4"];
+const GRACE_S = 3;
+const SLOTS = 8;
+const SERVICE_MS = 10;
+/** Longest wait for a node to become ready. */
+const READY_LIMIT_MS = 10_000;
+const ZONES = ["east", "west"] as const;
+
+/** Host of all routes of the demo. */
+export const DEMO_HOST = "app.example";
+
+/** A route of the demo. */
+export interface DemoRoute {
+  readonly name: string;
+  readonly service: string;
+  readonly idempotent: boolean;
+  readonly priority: number;
+}
+
+/** Routes of the demo; runs of `lookup` call `seal`. */
+export const DEMO_ROUTES: readonly DemoRoute[] = [
+  { name: "lookup", service: "portal", idempotent: true, priority: 2 },
+  { name: "decide", service: "committee", idempotent: false, priority: 1 },
+  { name: "seal", service: "seals", idempotent: true, priority: 0 },
+];
+
+/** A node's process and the backend server beside it. */
+export interface PlatformMember {
+  readonly id: string;
+  readonly service: string;
+  readonly backend: MeshBackend;
+  /** Host and port that callers send requests to. */
+  readonly callers: { readonly host: string; readonly port: number };
+  readonly child: () => ChildProcess;
+  /** Starts the program again; resolves with the ms until it was ready. */
+  readonly start: () => Promise<number>;
+  readonly register: (state: "ready" | "draining") => void;
+  readonly unregister: () => void;
+}
+
+/** A running fleet. */
+export interface PlatformFleet {
+  readonly members: readonly PlatformMember[];
+  /** Publishes a configuration with these routes. */
+  readonly publish: (version: number, routes: readonly DemoRoute[]) => void;
+  readonly close: () => Promise<void>;
+}
+
+interface MemberPorts {
+  readonly inbound: number;
+  readonly outbound: number;
+  readonly readiness: number;
+  readonly application: number;
+  readonly control: number;
+}
+
+async function choosePorts(): Promise<MemberPorts> {
+  const [inbound = 0, outbound = 0, readiness = 0, application = 0, control] =
+    await findFreePorts(5);
+  return { inbound, outbound, readiness, application, control: control ?? 0 };
+}
+
+function settingsText(options: {
+  readonly ip: string;
+  readonly id: string;
+  readonly service: string;
+  readonly zone: string;
+  readonly store: string;
+  readonly ports: MemberPorts;
+}): string {
+  const { ip, ports } = options;
+  return `
+[self]
+node_name = "node-${options.id}"
+ip_address = "${ip}"
+zone = "${options.zone}"
+application_address = "${ip}:${ports.application}"
+service = "${options.service}"
+[network]
+internal_port_range = [${ports.control}, ${ports.control + 1}]
+[network.listen_addresses]
+inbound = "${ip}:${ports.inbound}"
+outbound = "${ip}:${ports.outbound}"
+readiness = "${ip}:${ports.readiness}"
+[network.zones]
+${ZONES.map((zone) => `${zone} = "region"`).join("\n")}
+[platform.platform]
+address = "${options.store}"
+[terms.bounds]
+grace_period_s = ${GRACE_S}
+retry_budget_ratio = 0.2
+retry_budget_slack = 50
+budget_window_s = 10
+`;
+}
+
+function statusOf(host: string, port: number): Promise<number> {
+  return new Promise((resolve) => {
+    const asked = request({ host, port, path: "/readiness" }, (response) => {
+      response.resume();
+      resolve(response.statusCode ?? 0);
+    });
+    asked.once("error", () => resolve(0));
+    asked.end();
+  });
+}
+
+function configurationOf(version: number, routes: readonly DemoRoute[]) {
+  const services = [...new Set(routes.map(({ service }) => service))];
+  return {
+    version: version.toString(16).padStart(8, "0"),
+    routes: Object.fromEntries(
+      routes.map(({ name, service, idempotent, priority }) => [name, {
+        host: DEMO_HOST,
+        prefix: `/${name}/`,
+        type: idempotent ? "idempotent" : "non_idempotent",
+        timeout_s: 2,
+        target_latency_s: 0.5,
+        priority,
+        max_attempts: 2,
+        service,
+      }]),
+    ),
+    services: Object.fromEntries(services.map((name) => [name, {
+      health_check_path: "/health",
+      max_connections: 100,
+    }])),
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 1_000_000,
+      header_timeout_s: 3,
+      idle_timeout_s: 5,
+    },
+  };
+}
+
+async function startMember(
+  { index, service }: { readonly index: number; readonly service: string },
+  { ports, store, folder }: {
+    readonly ports: MemberPorts;
+    readonly store: KeyStore;
+    readonly folder: string;
+  },
+): Promise<PlatformMember> {
+  const ip = `127.${20 + (process.pid % 200)}.9.${index + 1}`;
+  const id = `i-${index + 1}`;
+  const zone = ZONES[index % ZONES.length] ?? ZONES[0];
+  const backend = await startMeshBackend({
+    id,
+    host: ip,
+    port: ports.application,
+    slots: SLOTS,
+    serviceMs: SERVICE_MS,
+    node: `${ip}:${ports.outbound}`,
+    calls: { lookup: [{ host: DEMO_HOST, path: "/seal/check" }] },
+  });
+  const path = join(folder, `${id}.toml`);
+  const settings = { ip, id, service, zone, ports, store: store.address };
+  await writeFile(path, settingsText(settings));
+  let child: ChildProcess;
+
+  async function start(): Promise<number> {
+    const startedAt = performance.now();
+    child = spawn(process.execPath, [...PROGRAM_FLAGS, PROGRAM], {
+      env: { COLTSFOOTDEAL_SETTINGS: path },
+      stdio: ["ignore", "ignore", "inherit"],
+    });
+    while (await statusOf(ip, ports.readiness) !== 200) {
+      if (performance.now() - startedAt > READY_LIMIT_MS) {
+        throw new Error(`node ${id} was not ready in ${READY_LIMIT_MS} ms`);
+      }
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    return performance.now() - startedAt;
+  }
+
+  function register(state: "ready" | "draining"): void {
+    const information = { service, version: "v1", zone, slots: SLOTS };
+    const status = { state, sequence: 1, cold_remaining_s: 0 };
+    const address = `${ip}:${ports.application}`;
+    const entry = { address, born: 1_700_000_000_000, information, status };
+    store.put(`servers/${id}`, JSON.stringify(entry));
+  }
+
+  register("ready");
+  await start();
+  return {
+    id,
+    service,
+    backend,
+    callers: { host: ip, port: ports.outbound },
+    child: () => child,
+    start,
+    register,
+    unregister: () => store.remove(`servers/${id}`),
+  };
+}
+
+/** Starts `perService` members of each service of the demo. */
+export async function startPlatformFleet(
+  perService: number,
+): Promise<PlatformFleet> {
+  const store = await startKeyStore();
+  const folder = await mkdtemp(join(tmpdir(), "coltsfootdeal-demo-"));
+  const ports = await choosePorts();
+  const services = DEMO_ROUTES.flatMap(({ service }) =>
+    new Array<string>(perService).fill(service)
+  );
+  const publish = (version: number, routes: readonly DemoRoute[]) => {
+    store.put("op/config", JSON.stringify(configurationOf(version, routes)));
+  };
+  publish(1, DEMO_ROUTES);
+  const members = await Promise.all(
+    services.map((service, index) =>
+      startMember({ index, service }, { ports, store, folder })
+    ),
+  );
+
+  async function stop({ child, backend }: PlatformMember): Promise<void> {
+    const running = child();
+    if (running.exitCode === null && running.signalCode === null) {
+      const exited = once(running, "exit");
+      running.kill("SIGKILL");
+      await exited;
+    }
+    await backend.close();
+  }
+
+  return {
+    members,
+    publish,
+    close: async () => {
+      await Promise.all(members.map(stop));
+      await store.close();
+      await rm(folder, { recursive: true });
+    },
+  };
+}
