perf(agent): no rumours of what all nodes read

Cause: that an instance lives, learned by a comparison, was passed on as a rumour: 1.75 messages a second on an idle node, a third of its processor time. Conclusion: rumours are left to leaving, deaths and bundles where all nodes read the list.

--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -15,7 +15,6 @@
   type Membership,
   type News,
   READER_COMPARE_PERIOD_MS,
-  type ReceiveOptions,
   type Router,
   RUMOUR_PERIOD_MS,
   SUSPECT_TTL_MS,
@@ -36,6 +35,7 @@
   FACT,
   factNews,
   INSTANCE,
+  isUrgent,
   parse,
 } from "./news.ts";
 import { createPeers } from "./peers.ts";
@@ -143,15 +143,20 @@
       const topic = INSTANCE + listed.id;
       return { topic, version: revision, digest: digestOf(value), value };
     });
-    learn(news, { quiet });
+    learn(news);
+  }
+
+  /** Stores news; returns what was fresh. */
+  function receive(news: readonly News[]): readonly News[] {
+    const now = clock.now();
+    return news.flatMap((item) => {
+      return spread.receive([item], now, { quiet: quiet && !isUrgent(item) });
+    });
   }
 
   /** Applies news and tells the parts of the node that it concerns. */
-  function learn(
-    news: readonly News[],
-    options: ReceiveOptions = {},
-  ): void {
-    const fresh = spread.receive(news, clock.now(), options);
+  function learn(news: readonly News[]): void {
+    const fresh = receive(news);
     let changed = false;
     for (const item of fresh) {
       if (item.topic.startsWith(INSTANCE)) {
@@ -197,7 +202,7 @@
   }
 
   function applyOwnFact(isLeaving: boolean): void {
-    learn([ownFact(isLeaving)], { quiet });
+    learn([ownFact(isLeaving)]);
   }
 
   function learnFact(news: News): boolean {
@@ -342,8 +347,7 @@
     },
     seen: (fact) => {
       if (applyFact(fact)) {
-        const options = { quiet: quiet && !fact.leaving };
-        spread.receive([factNews(fact)], clock.now(), options);
+        receive([factNews(fact)]);
         refreshRoutes();
       }
     },
--- a/packages/node/src/agent/news.ts
+++ b/packages/node/src/agent/news.ts
@@ -57,3 +57,12 @@
     return undefined;
   }
 }
+
+/**
+ * Whether news spreads as a rumour also where all nodes read the instance list
+ * for themselves: what the list does not tell, or not in time.
+ */
+export function isUrgent(news: News): boolean {
+  if (!news.topic.startsWith(FACT)) return !news.topic.startsWith(INSTANCE);
+  return parse<InstanceFact>(news)?.leaving === true;
+}
