fix(router): own calls that a gate reports are counted once

Cause: a gate's load was its report, which includes the own calls, plus the own calls: 43 % of the deepest calls (1,000/s) left their data centre at half load. Ruled out: slow start, urgency of the kind (0.1 to 0.25 of the objective).

--- a/packages/policy/src/__tests__/router_test.ts
+++ b/packages/policy/src/__tests__/router_test.ts
@@ -58,6 +58,19 @@
   expect(router.pick(lesser, { now: 1, random })).toBeUndefined();
 });
 
+test("own calls that a gate reports are not counted twice", () => {
+  const router = createFilled([upstream(1, "a"), upstream(2, "b")]);
+  const random = createSeededRandom(7);
+  for (let count = 0; count < 7; count++) router.begin("up-1");
+  const report = { queued: 0, limit: 10, acceptLevel: 0, leaving: false };
+  router.report("up-1", { ...report, inFlight: 6 }, { now: 0 });
+  router.end("up-1", "success", { now: 0 });
+  expect(router.pick(DEMAND, { now: 0, random })?.id).toBe("up-1");
+  // Calls of others count beside the own ones.
+  router.report("up-1", { ...report, inFlight: 10 }, { now: 0 });
+  expect(router.pick(DEMAND, { now: 0, random })?.id).toBe("up-2");
+});
+
 test("only a bounded share of a service is ejected", () => {
   fc.assert(fc.property(
     fc.array(fc.nat(7), { maxLength: 200 }),
--- a/packages/policy/src/router.ts
+++ b/packages/policy/src/router.ts
@@ -111,6 +111,8 @@
   outstanding: number;
   report: UpstreamReport | undefined;
   reportedAt: number;
+  /** Own calls that the report counts as well. */
+  reportedOwn: number;
   leaving: boolean;
   failures: number;
   ejections: number;
@@ -130,6 +132,7 @@
     outstanding: 0,
     report: undefined,
     reportedAt: -Infinity,
+    reportedOwn: 0,
     leaving: false,
     failures: 0,
     ejections: 0,
@@ -141,13 +144,15 @@
   const { report, outstanding } = entry;
   const age = now - entry.reportedAt;
   const weight = report ? 0.5 ** (age / LOAD_HALF_LIFE_MS) : 0;
-  const reported = report
-    ? (report.inFlight + report.queued) / Math.max(1, report.limit)
+  // Own calls that the report counts are not counted twice.
+  const ofOthers = report
+    ? Math.max(0, report.inFlight + report.queued - entry.reportedOwn)
     : 0;
-  const own = outstanding / Math.max(1, report?.limit ?? 1);
+  const calls = weight * ofOthers + outstanding;
+  const used = calls / Math.max(1, report?.limit ?? 1);
   const ramp = (now - entry.since) / SLOW_START_MS;
   const share = Math.min(1, Math.max(SLOW_START_FLOOR, ramp));
-  return (weight * reported + own + 0.01) / share;
+  return (used + 0.01) / share;
 }
 
 /**
@@ -303,6 +308,8 @@
       if (entry === undefined) return;
       entry.report = report;
       entry.reportedAt = now;
+      // The call that brought the report has ended there.
+      entry.reportedOwn = Math.max(0, entry.outstanding - 1);
       const { usualMs = 0 } = report;
       if (kind !== undefined && usualMs > 0) {
         entry.usual.set(kind, { ms: usualMs, at: now });
