fix(node): a stopping node takes no request that it cannot end

Change: after the quiet part of the grace period new requests are refused as leaving; what is in flight ends.

--- a/packages/node/src/edge/plain_listener.ts
+++ b/packages/node/src/edge/plain_listener.ts
@@ -36,6 +36,8 @@
   readonly version: () => number;
   readonly ingress: Ingress;
   readonly leaving: () => boolean;
+  /** Whether the process ends too soon to answer new requests. */
+  readonly ending: () => boolean;
   readonly onFinished: (finished: FinishedRequest) => void;
   readonly onFault: (requestId: string, fault: PlainRequestFault) => void;
 }
@@ -143,6 +145,7 @@
         : "body: ended early";
       return { status: body.error === "too_large" ? 413 : 400, message };
     }
+    if (config.ending()) return bareAnswer(refused("leaving"));
     const elapsedMs = clock.now() - options.startedAt;
     const { method, path, headers, deadlineMs: statedMs } = plain;
     return await ingress.handle({
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -128,6 +128,7 @@
   const backend = ports.createBackend(backendClient);
   const decisions = createDecisionLog(log, clock);
   let leaving = false;
+  let ending = false;
   let readyRecorded = false;
 
   const gate = createGate({
@@ -327,6 +328,7 @@
       version: () => store.inForce(FLEET_SCOPE)?.version ?? 0,
       ingress,
       leaving: () => leaving,
+      ending: () => ending,
       onFinished: recordFinished,
       onFault: (requestId, { status, message }) =>
         decisions.record("request.invalid", { requestId, status, message }),
@@ -393,11 +395,10 @@
       ? options.drainQuietMs ?? DRAIN_QUIET_MS
       : graceMs * DRAIN_QUIET_SHARE;
     const limit = now + (graceMs ?? Infinity) * DRAIN_LIMIT_SHARE;
-    while (
-      clock.now() < limit &&
-      (clock.now() < now + quietMs || !gate.idle() || ingress.inFlight() > 0)
-    ) {
+    const isBusy = () => !gate.idle() || ingress.inFlight() > 0;
+    while (clock.now() < limit && (!ending || isBusy())) {
       await new Promise<void>((resolve) => clock.after(20, resolve));
+      ending = clock.now() >= now + quietMs;
     }
   }
 
