feat(admission): calls further down may wait longer

Cause: under overload the deepest service is full all the time, and calls were refused there once the planned wait passed 100 ms; each refusal wastes the run that made it (20 % of the runs at the entry service ended badly). Change: the planned wait grows with the depth of a call.

--- a/packages/policy/src/__tests__/admission_test.ts
+++ b/packages/policy/src/__tests__/admission_test.ts
@@ -1,7 +1,11 @@
 import fc from "fast-check";
 import { expect, test } from "vitest";
 import { type Admission, createAdmission } from "../admission.ts";
-import { PROTECTED_LEVEL } from "../constants.ts";
+import {
+  LEVELS_PER_RANK,
+  PROTECTED_LEVEL,
+  QUEUE_WAIT_MS,
+} from "../constants.ts";
 import type { GateAction, Work } from "../work.ts";
 
 const SLOTS = 3;
@@ -280,3 +284,27 @@
   // Found by the property on long schedules.
   expect(action).toMatchObject({ kind: "cancel", work: { id: "lesser" } });
 });
+
+test("a call further down may wait longer than a request", () => {
+  const runMs = 50;
+  /** Works of a level that wait when many come at once. */
+  function waiting(level: number): number {
+    const gate = createAdmission({ slots: 1, floors: new Map() });
+    for (let turn = 0; turn < 100; turn++) {
+      const work = createWork(`known-${turn}`, { level });
+      gate.offer(work, turn * runMs);
+      gate.finish(work.id, { shed: false }, { now: (turn + 1) * runMs });
+    }
+    const now = 100 * runMs;
+    for (let index = 0; index < 16; index++) {
+      gate.offer(createWork(`work-${index}`, { level }), now);
+    }
+    return gate.load(now).queued;
+  }
+  const request = waiting(LEVELS_PER_RANK);
+  const child = waiting(LEVELS_PER_RANK + 1);
+  expect(request).toBeGreaterThan(0);
+  expect(request).toBeLessThanOrEqual(QUEUE_WAIT_MS / runMs + 1);
+  expect(child).toBeGreaterThan(request);
+  expect(child).toBeLessThanOrEqual(2 * QUEUE_WAIT_MS / runMs + 1);
+});
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -222,9 +222,17 @@
     return Math.max(QUEUE_ENTRIES_MIN, bound);
   }
 
+  /**
+   * Longest planned wait of unprotected work. A call further down may wait
+   * longer: its refusal wastes what its run has done already.
+   */
+  function waitLimitOf(level: number): number {
+    return queueWaitMs * (1 + depthOf(level));
+  }
+
   function fits(work: Work, now: number): boolean {
     const wait = waitFrom(work.level, now);
-    if (!isProtected(work) && wait > queueWaitMs) return false;
+    if (!isProtected(work) && wait > waitLimitOf(work.level)) return false;
     const run = times.ofKind(work.kind) * runs.slowness(now) * LONGEST_SHARE;
     return now + wait + run <= work.deadlineAt;
   }
@@ -359,7 +367,7 @@
     load: (now) => {
       let acceptLevel = 0;
       for (const level of queue.levels()) {
-        if (waitFrom(level, now) <= queueWaitMs) continue;
+        if (waitFrom(level, now) <= waitLimitOf(level)) continue;
         acceptLevel = Math.min(level + 1, PROTECTED_LEVEL);
         break;
       }
