--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -79,7 +79,7 @@
 /** By how much the own gate's load may be higher than another's. */
 export const OWN_GATE_MARGIN = 0.1;
 /** Load of the nearer gate from which farther ones are considered. */
-export const SPILL_LOAD = 0.8;
+export const SPILL_LOAD = 0.85;
 /** Time for which a gate's reported run times are believed. */
 export const USUAL_TIME_TTL_MS = 5_000;
 /** By how much a farther gate's load must be lower. */
