--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -60,6 +60,8 @@
 export const DECISION_REPORT_MS = 1_000;
 /** Bytes of log lines that may wait for standard output. */
 export const LOG_BUFFER_MAX_BYTES = 256 * 1024;
+/** Period in which a stopping node looks whether it is idle. */
+export const DRAIN_POLL_MS = 20;
 /** Part of the grace period in which a stopping node goes on taking calls. */
 export const DRAIN_QUIET_SHARE = 0.5;
 /** Part of the grace period after which a stopping node waits no longer. */
--- a/packages/node/src/edge/plain_listener.ts
+++ b/packages/node/src/edge/plain_listener.ts
@@ -9,6 +9,7 @@
 import { drawWeighted, type Random, refused } from "@coltsfootdeal/policy";
 import { type Answer, bareAnswer } from "../answer.ts";
 import { readBody } from "../body.ts";
+import { createGoneSignal } from "../gone_signal.ts";
 import type { FinishedCall } from "../ingress/data_api.ts";
 import type { Ingress } from "../ingress/ingress.ts";
 import type {
@@ -62,15 +63,6 @@
 /** By how much the wait is drawn out at random. */
 const RETRY_AFTER_SPREAD = 0.5;
 
-/** Signals that the caller has closed the connection. */
-function goneSignal(outgoing: ServerResponse): AbortSignal {
-  const abort = new AbortController();
-  outgoing.once("close", () => {
-    if (!outgoing.writableFinished) abort.abort();
-  });
-  return abort.signal;
-}
-
 /** Creates the handler of plain requests. */
 export function createPlainHandler(config: PlainListenerConfig): PlainHandler {
   const { clock, protocol, ingress } = config;
@@ -169,7 +161,7 @@
 
   return async (incoming, outgoing) => {
     const startedAt = clock.now();
-    const signal = goneSignal(outgoing);
+    const signal = createGoneSignal(outgoing);
     const decoded = protocol.decode(incoming);
     if (decoded.isErr()) {
       config.onFault("", decoded.error);
--- a/packages/node/src/http_client.ts
+++ b/packages/node/src/http_client.ts
@@ -101,20 +101,10 @@
   return connector;
 }
 
-/** Options of a client. */
-export interface HttpClientOptions {
-  /**
-   * Connections to one origin.
-   * @default unlimited
-   */
-  readonly connections?: number;
-}
-
 /** Creates a client with no connections. */
-export function createHttpClient(options: HttpClientOptions = {}): HttpClient {
+export function createHttpClient(): HttpClient {
   const ending: Ending = { current: false };
   const agent = new Agent({
-    connections: options.connections ?? null,
     pipelining: 1,
     connect: createConnector(ending),
     keepAliveTimeout: CLIENT_KEEP_ALIVE_MS,
--- a/packages/node/src/ingress/data_api.ts
+++ b/packages/node/src/ingress/data_api.ts
@@ -10,6 +10,7 @@
 import { readBody } from "../body.ts";
 import { TICKETS_PER_REQUEST_MAX } from "../constants.ts";
 import { HEADER, outcomeHeaders, readWholeNumber } from "../headers.ts";
+import { createGoneSignal } from "../gone_signal.ts";
 import type { Ingress, WholeRequest } from "./ingress.ts";
 import {
   payloadOf,
@@ -68,16 +69,6 @@
   }
 }
 
-/** Signals that the other end has closed the connection. */
-function goneSignal(context: ApiContext): AbortSignal {
-  const abort = new AbortController();
-  const { outgoing } = context.env;
-  outgoing.once("close", () => {
-    if (!outgoing.writableFinished) abort.abort();
-  });
-  return abort.signal;
-}
-
 function respond(
   body: Buffer | string,
   init: {
@@ -157,7 +148,7 @@
       service: context.req.param("service") ?? "",
       kind: context.req.param("kind") ?? "",
     };
-    const signal = goneSignal(context);
+    const signal = createGoneSignal(context.env.outgoing);
     const request = resolveRequest(incoming.headers, target, { catalog });
     if (request.isErr()) {
       const missing = request.error.status === 404;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -12,7 +12,6 @@
   createServiceTime,
   createSuspects,
   type Death,
-  type RetryBudgetOptions,
 } from "@coltsfootdeal/policy";
 import { getRequestListener } from "@hono/node-server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
@@ -30,15 +29,9 @@
 import { createControlRouter } from "./agent/control_api.ts";
 import { createControlClient } from "./agent/control_client.ts";
 import { createChains } from "./chains.ts";
-import {
-  DRAIN_LIMIT_SHARE,
-  DRAIN_QUIET_MS,
-  DRAIN_QUIET_SHARE,
-  HEALTH_PERIOD_MS,
-  HOUSEKEEPING_MS,
-  RETRY_OWN_SHARE,
-} from "./constants.ts";
+import { HEALTH_PERIOD_MS, HOUSEKEEPING_MS } from "./constants.ts";
 import { createDecisionLog } from "./decision_log.ts";
+import { drainUntilIdle } from "./drain.ts";
 import {
   createPlainHandler,
   type FinishedRequest,
@@ -62,11 +55,11 @@
 } from "./node_types.ts";
 import { createOwnPorts } from "./own_ports.ts";
 import type { NodePorts } from "./ports.ts";
+import { retryShareOf } from "./retry_share.ts";
 import {
   type Address,
   formatAddress,
   type NodeSettings,
-  type RetryBounds,
   type Settings,
 } from "./settings.ts";
 
@@ -75,22 +68,6 @@
   return `${Date.now()}-${randomBytes(6).toString("hex")}`;
 }
 
-/**
- * The own share of what the fleet may send again. Half of it is left for
- * requests that a repeated run makes further down, which count as well.
- */
-function retryOptions(
-  bounds: () => RetryBounds | undefined,
-  fleetSize: () => number,
-): RetryBudgetOptions {
-  if (bounds() === undefined) return {};
-  const share = (total: number) => total * RETRY_OWN_SHARE;
-  return {
-    ratio: () => share(bounds()?.ratio ?? 0),
-    burst: () => Math.max(1, share(bounds()?.slack ?? 0) / fleetSize()),
-  };
-}
-
 /** Starts a node on the own interface. */
 export function startNode(
   settings: Settings,
@@ -200,7 +177,7 @@
     suspects,
     chained: ports.callers === undefined,
     serviceBudget: createRetryBudget(
-      retryOptions(() => changeable.retries, fleetSize),
+      retryShareOf(() => changeable.retries, fleetSize),
     ),
     levelOf: (kind, weight) => {
       const catalog = store.catalog();
@@ -388,20 +365,6 @@
     await agent.announceLeaving();
   }
 
-  async function idle(): Promise<void> {
-    const now = clock.now();
-    const { graceMs } = changeable;
-    const quietMs = graceMs === undefined
-      ? options.drainQuietMs ?? DRAIN_QUIET_MS
-      : graceMs * DRAIN_QUIET_SHARE;
-    const limit = now + (graceMs ?? Infinity) * DRAIN_LIMIT_SHARE;
-    const isBusy = () => !gate.idle() || ingress.inFlight() > 0;
-    while (clock.now() < limit && (!ending || isBusy())) {
-      await new Promise<void>((resolve) => clock.after(20, resolve));
-      ending = clock.now() >= now + quietMs;
-    }
-  }
-
   function stopTimers(): void {
     housekeeping.close();
     health.close();
@@ -444,7 +407,17 @@
       audit.record("draining");
       // Peers that do not answer must not use up the grace period.
       const announced = beginLeaving();
-      await idle();
+      await drainUntilIdle({
+        clock,
+        graceMs: changeable.graceMs,
+        ...(options.drainQuietMs === undefined
+          ? {}
+          : { quietMs: options.drainQuietMs }),
+        isBusy: () => !gate.idle() || ingress.inFlight() > 0,
+        onEnding: () => {
+          ending = true;
+        },
+      });
       if (settings.graceMs === undefined) await announced;
       const inFlight = ingress.inFlight();
       audit.record("drained", { inFlight });
