test(standin): one settings file of the users' platform

Cause: its text stood in the harness, in the process test and in the demo. Conclusion: the stand-ins write it, as they write the store's entries.

--- a/packages/standin/src/ports.ts
+++ b/packages/standin/src/ports.ts
@@ -2,6 +2,7 @@
 
 import process from "node:process";
 import { serveHttp } from "./http_server.ts";
+import type { MeshPorts } from "./mesh_settings.ts";
 
 /** Below the range from which systems take ports of outgoing connections. */
 const FIRST_PORT = 10_000;
@@ -34,3 +35,10 @@
   }
   return ports;
 }
+
+/** Finds the ports of a machine; machines with other addresses may share them. */
+export async function findMeshPorts(): Promise<MeshPorts> {
+  const [inbound = 0, outbound = 0, readiness = 0, application = 0, control] =
+    await findFreePorts(5);
+  return { inbound, outbound, readiness, application, control: control ?? 0 };
+}
--- a/playground/src/platform_fleet.ts
+++ b/playground/src/platform_fleet.ts
@@ -11,9 +11,11 @@
 import { join } from "node:path";
 import process from "node:process";
 import {
-  findFreePorts,
+  findMeshPorts,
+  formatMeshSettings,
   type KeyStore,
   type MeshBackend,
+  type MeshPorts,
   startKeyStore,
   startMeshBackend,
 } from "@coltsfootdeal/standin";
@@ -71,54 +73,6 @@
   readonly close: () => Promise<void>;
 }
 
-interface MemberPorts {
-  readonly inbound: number;
-  readonly outbound: number;
-  readonly readiness: number;
-  readonly application: number;
-  readonly control: number;
-}
-
-async function choosePorts(): Promise<MemberPorts> {
-  const [inbound = 0, outbound = 0, readiness = 0, application = 0, control] =
-    await findFreePorts(5);
-  return { inbound, outbound, readiness, application, control: control ?? 0 };
-}
-
-function settingsText(options: {
-  readonly ip: string;
-  readonly id: string;
-  readonly service: string;
-  readonly zone: string;
-  readonly store: string;
-  readonly ports: MemberPorts;
-}): string {
-  const { ip, ports } = options;
-  return `
-[self]
-node_name = "node-${options.id}"
-ip_address = "${ip}"
-zone = "${options.zone}"
-application_address = "${ip}:${ports.application}"
-service = "${options.service}"
-[network]
-internal_port_range = [${ports.control}, ${ports.control + 1}]
-[network.listen_addresses]
-inbound = "${ip}:${ports.inbound}"
-outbound = "${ip}:${ports.outbound}"
-readiness = "${ip}:${ports.readiness}"
-[network.zones]
-${ZONES.map((zone) => `${zone} = "region"`).join("\n")}
-[platform.platform]
-address = "${options.store}"
-[terms.bounds]
-grace_period_s = ${GRACE_S}
-retry_budget_ratio = 0.2
-retry_budget_slack = 50
-budget_window_s = 10
-`;
-}
-
 function statusOf(host: string, port: number): Promise<number> {
   return new Promise((resolve) => {
     const asked = request({ host, port, path: "/readiness" }, (response) => {
@@ -162,7 +116,7 @@
 async function startMember(
   { index, service }: { readonly index: number; readonly service: string },
   { ports, store, folder }: {
-    readonly ports: MemberPorts;
+    readonly ports: MeshPorts;
     readonly store: KeyStore;
     readonly folder: string;
   },
@@ -180,8 +134,17 @@
     calls: { lookup: [{ host: DEMO_HOST, path: "/seal/check" }] },
   });
   const path = join(folder, `${id}.toml`);
-  const settings = { ip, id, service, zone, ports, store: store.address };
-  await writeFile(path, settingsText(settings));
+  const settings = formatMeshSettings({
+    name: `node-${id}`,
+    ip,
+    service,
+    zone,
+    zones: ZONES,
+    store: store.address,
+    ports,
+    graceS: GRACE_S,
+  });
+  await writeFile(path, settings);
   let child: ChildProcess;
 
   async function start(): Promise<number> {
@@ -227,7 +190,7 @@
 ): Promise<PlatformFleet> {
   const store = await startKeyStore();
   const folder = await mkdtemp(join(tmpdir(), "coltsfootdeal-demo-"));
-  const ports = await choosePorts();
+  const ports = await findMeshPorts();
   const services = DEMO_ROUTES.flatMap(({ service }) =>
     new Array<string>(perService).fill(service)
   );
