docs(node): why idle links are tried rarely

Cause: the comment stated a share of all messages that was estimated, and is wrong where backend servers call each other (1,000 calls a second).

--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -75,8 +75,8 @@
 /** Period in which a link with calls on it is tried. */
 export const LINK_PING_MS = 300;
 /**
- * Idle time after which a link is tried: pings of idle links were half of all
- * messages of a fleet of 14 nodes at its usual load.
+ * Idle time after which a link is tried. The first call on a link that went
+ * silent notices it as soon; this only frees the sockets at both ends.
  */
 export const LINK_IDLE_PING_MS = 3_000;
 /** Silence after which a link is given up; calls on it may have run. */
