--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -193,16 +193,12 @@
     config.onOwnInstance(instance);
     if (instance.state === "gone" || instance.id === ownId) return;
     ownId = instance.id;
-    applyOwnFact(leaving);
+    learn([ownFact()]);
   }
 
-  function ownFact(isLeaving: boolean): News {
+  function ownFact(): News {
     const { incarnation } = config;
-    return factNews({ id: ownId, incarnation, leaving: isLeaving });
-  }
-
-  function applyOwnFact(isLeaving: boolean): void {
-    learn([ownFact(isLeaving)]);
+    return factNews({ id: ownId, incarnation, leaving });
   }
 
   function learnFact(news: News): boolean {
@@ -337,7 +333,7 @@
     },
     membership,
     start: () => {
-      applyOwnFact(false);
+      learn([ownFact()]);
       timers.push(
         clock.every(RUMOUR_PERIOD_MS, pushRumours),
         clock.every(COMPARE_PERIOD_MS, comparePeer),
@@ -379,7 +375,7 @@
     },
     announceLeaving: async () => {
       leaving = true;
-      const news = ownFact(true);
+      const news = ownFact();
       learn([news]);
       await Promise.all(peers.draw().map((peer) => control.push(peer, [news])));
     },
--- a/packages/node/src/agent/key_feed.ts
+++ b/packages/node/src/agent/key_feed.ts
@@ -7,7 +7,6 @@
 import { type Clock, sleep, type Timer } from "@coltsfootdeal/kernel";
 import type { Result } from "neverthrow";
 import {
-  PLATFORM_RETRY_MS,
   STORE_RETRY_MAX_MS,
   STORE_RETURN_GRACE_MS,
   STORE_WATCH_PAUSE_MS,
@@ -19,6 +18,7 @@
   PlatformInstance,
   PlatformValue,
 } from "./feed.ts";
+import { createReachability, drawRetryDelay } from "./feed_state.ts";
 
 /** One key of the store, as it was written or removed. */
 export type StoreChange =
@@ -78,13 +78,7 @@
   const known = new Map<string, PlatformInstance>();
   const missing = new Map<string, Timer>();
   let abort: AbortController | undefined;
-  let reachable = false;
-
-  function setReachable(next: boolean, reason: string): void {
-    if (reachable === next) return;
-    reachable = next;
-    config.onState(next, reason);
-  }
+  const reachable = createReachability(config.onState);
 
   function remove(id: string, revision: number): void {
     const instance = known.get(id);
@@ -160,12 +154,6 @@
     }
   }
 
-  async function backOff(failures: number, signal: AbortSignal) {
-    const full = PLATFORM_RETRY_MS * 2 ** Math.min(failures - 1, 10);
-    const ceiling = Math.min(STORE_RETRY_MAX_MS, full);
-    await sleep(clock, ceiling * (0.5 + Math.random() / 2), signal);
-  }
-
   async function follow(signal: AbortSignal): Promise<void> {
     let revision: number | undefined;
     let failures = 0;
@@ -176,7 +164,7 @@
       if (signal.aborted) return;
       if (result.isOk()) {
         failures = 0;
-        setReachable(true, "answered");
+        reachable.set(true, "answered");
         revision = result.value;
         continue;
       }
@@ -185,8 +173,9 @@
         continue;
       }
       failures++;
-      setReachable(false, reasonOf(result.error));
-      await backOff(failures, signal);
+      reachable.set(false, reasonOf(result.error));
+      const delayMs = drawRetryDelay(failures - 1, STORE_RETRY_MAX_MS);
+      await sleep(clock, delayMs, signal);
     }
   }
 
@@ -196,7 +185,7 @@
   ): Promise<Result<number, StoreError>> {
     // After an error the store is asked without waiting, so that its return is
     // noticed at once.
-    const waitMs = reachable ? STORE_WATCH_WAIT_MS : 0;
+    const waitMs = reachable.get() ? STORE_WATCH_WAIT_MS : 0;
     const result = await reader.watch({ after, waitMs }, signal);
     if (result.isOk() && !signal.aborted) {
       const { changes } = result.value;
@@ -218,7 +207,7 @@
       abort = undefined;
     },
     active: () => abort !== undefined,
-    reachable: () => reachable,
+    reachable: reachable.get,
     close: () => {
       abort?.abort();
       for (const timer of missing.values()) timer.close();
--- a/packages/node/src/agent/platform_watch.ts
+++ b/packages/node/src/agent/platform_watch.ts
@@ -2,12 +2,9 @@
 
 import { type Clock, sleep } from "@coltsfootdeal/kernel";
 import type { Result } from "neverthrow";
-import {
-  PLATFORM_RETRY_MAX_MS,
-  PLATFORM_RETRY_MS,
-  WATCH_WAIT_MS,
-} from "../constants.ts";
+import { PLATFORM_RETRY_MAX_MS, WATCH_WAIT_MS } from "../constants.ts";
 import type { Feed, FeedSinks } from "./feed.ts";
+import { createReachability, drawRetryDelay } from "./feed_state.ts";
 import type {
   PlatformChanges,
   PlatformClient,
@@ -32,13 +29,7 @@
 ): Feed {
   const { clock, platform } = config;
   let abort: AbortController | undefined;
-  let reachable = false;
-
-  function setReachable(next: boolean, reason: string): void {
-    if (reachable === next) return;
-    reachable = next;
-    config.onState(next, reason);
-  }
+  const reachable = createReachability(config.onState);
 
   async function loop<Item>(
     read: Read<Item>,
@@ -56,14 +47,13 @@
       if (signal.aborted) return;
       if (result.isErr()) {
         failures++;
-        setReachable(false, result.error);
-        const backoff = PLATFORM_RETRY_MS * 2 ** Math.min(failures, 10);
-        const ceiling = Math.min(PLATFORM_RETRY_MAX_MS, backoff);
-        await sleep(clock, ceiling * (0.5 + Math.random() / 2), signal);
+        reachable.set(false, result.error);
+        const delayMs = drawRetryDelay(failures, PLATFORM_RETRY_MAX_MS);
+        await sleep(clock, delayMs, signal);
         continue;
       }
       failures = 0;
-      setReachable(true, "answered");
+      reachable.set(true, "answered");
       after = result.value.revision;
       if (result.value.items.length > 0) onItems(result.value.items);
     }
@@ -82,7 +72,7 @@
       abort = undefined;
     },
     active: () => abort !== undefined,
-    reachable: () => reachable,
+    reachable: reachable.get,
     close: () => abort?.abort(),
   };
 }
--- a/packages/node/src/drain.ts
+++ b/packages/node/src/drain.ts
@@ -17,7 +17,7 @@
    * Time in which new requests are still taken, without a grace period.
    * @default DRAIN_QUIET_MS
    */
-  readonly quietMs?: number;
+  readonly quietMs: number | undefined;
   readonly isBusy: () => boolean;
   /** Told when new requests could not be answered in time any more. */
   readonly onEnding: () => void;
--- a/packages/node/src/gate/gate.ts
+++ b/packages/node/src/gate/gate.ts
@@ -63,6 +63,12 @@
   readonly death?: Death;
 }
 
+/** The reply to a call that the gate did not take. */
+export function createBareReply(outcome: Outcome): GateReply {
+  const answer = bareAnswer(outcome);
+  return { answer, unspent: 0, slotMs: 0, usualMs: 0, nested: false };
+}
+
 /** Resolved configuration of a gate. */
 export interface GateConfig {
   readonly instance: string;
@@ -404,14 +410,7 @@
         startedAt: 0,
       };
       if (jobs.has(call.id)) {
-        const answer = bareAnswer(unknown("connection_lost"));
-        return resolve({
-          answer,
-          unspent: 0,
-          slotMs: 0,
-          usualMs: 0,
-          nested: false,
-        });
+        return resolve(createBareReply(unknown("connection_lost")));
       }
       jobs.set(call.id, job);
       task.post({ kind: "offer", job });
--- a/packages/node/src/link/link_server.ts
+++ b/packages/node/src/link/link_server.ts
@@ -4,13 +4,12 @@
 import type { Duplex } from "node:stream";
 import type { Clock } from "@coltsfootdeal/kernel";
 import { refused } from "@coltsfootdeal/policy";
-import { bareAnswer } from "../answer.ts";
 import {
   LINK_BUFFER_MAX_BYTES,
   LINK_IDLE_PING_MS,
   LINK_SILENCE_MS,
 } from "../constants.ts";
-import type { Gate, GateReply } from "../gate/gate.ts";
+import { createBareReply, type Gate, type GateReply } from "../gate/gate.ts";
 import type { Log } from "../log.ts";
 import { createFrameReader } from "./frame_reader.ts";
 import { writeFrame } from "./frame_writer.ts";
@@ -80,14 +79,7 @@
     async function run(message: RunMessage): Promise<void> {
       config.onVersion(message.version);
       if (message.service !== config.service) {
-        const answer = bareAnswer(refused("no_upstream"));
-        return reply(message.id, {
-          answer,
-          unspent: 0,
-          slotMs: 0,
-          usualMs: 0,
-          nested: false,
-        });
+        return reply(message.id, createBareReply(refused("no_upstream")));
       }
       const abort = new AbortController();
       running.set(message.id, abort);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -410,9 +410,7 @@
       await drainUntilIdle({
         clock,
         graceMs: changeable.graceMs,
-        ...(options.drainQuietMs === undefined
-          ? {}
-          : { quietMs: options.drainQuietMs }),
+        quietMs: options.drainQuietMs,
         isBusy: () => !gate.idle() || ingress.inFlight() > 0,
         onEnding: () => {
           ending = true;
--- a/playground/src/platform_demo.ts
+++ b/playground/src/platform_demo.ts
@@ -7,8 +7,8 @@
 import { once } from "node:events";
 import { Agent, request } from "node:http";
 import process from "node:process";
+import { MESH_HOST } from "@coltsfootdeal/standin";
 import {
-  DEMO_HOST,
   DEMO_ROUTES,
   type DemoRoute,
   type PlatformFleet,
@@ -78,7 +78,7 @@
         path: `/${route.name}/${id}`,
         agent,
         headers: {
-          host: DEMO_HOST,
+          host: MESH_HOST,
           "x-request-id": id,
           "x-request-deadline": "1500",
         },
--- a/playground/src/platform_fleet.ts
+++ b/playground/src/platform_fleet.ts
@@ -12,8 +12,11 @@
 import process from "node:process";
 import {
   findMeshPorts,
+  formatMeshConfiguration,
+  formatMeshEntry,
   formatMeshSettings,
   type KeyStore,
+  MESH_HOST,
   type MeshBackend,
   type MeshPorts,
   startKeyStore,
@@ -33,9 +36,6 @@
 const READY_LIMIT_MS = 10_000;
 const ZONES = ["east", "west"] as const;
 
-/** Host of all routes of the demo. */
-export const DEMO_HOST = "app.example";
-
 /** A route of the demo. */
 export interface DemoRoute {
   readonly name: string;
@@ -85,32 +85,16 @@
 }
 
 function configurationOf(version: number, routes: readonly DemoRoute[]) {
-  const services = [...new Set(routes.map(({ service }) => service))];
-  return {
-    version: version.toString(16).padStart(8, "0"),
+  return formatMeshConfiguration(version, {
+    services: routes.map(({ service }) => service),
     routes: Object.fromEntries(
       routes.map(({ name, service, idempotent, priority }) => [name, {
-        host: DEMO_HOST,
-        prefix: `/${name}/`,
         type: idempotent ? "idempotent" : "non_idempotent",
-        timeout_s: 2,
-        target_latency_s: 0.5,
         priority,
-        max_attempts: 2,
         service,
       }]),
     ),
-    services: Object.fromEntries(services.map((name) => [name, {
-      health_check_path: "/health",
-      max_connections: 100,
-    }])),
-    limits: {
-      max_header_bytes: 16_384,
-      max_body_bytes: 1_000_000,
-      header_timeout_s: 3,
-      idle_timeout_s: 5,
-    },
-  };
+  });
 }
 
 async function startMember(
@@ -131,7 +115,7 @@
     slots: SLOTS,
     serviceMs: SERVICE_MS,
     node: `${ip}:${ports.outbound}`,
-    calls: { lookup: [{ host: DEMO_HOST, path: "/seal/check" }] },
+    calls: { lookup: [{ host: MESH_HOST, path: "/seal/check" }] },
   });
   const path = join(folder, `${id}.toml`);
   const settings = formatMeshSettings({
@@ -163,11 +147,9 @@
   }
 
   function register(state: "ready" | "draining"): void {
-    const information = { service, version: "v1", zone, slots: SLOTS };
-    const status = { state, sequence: 1, cold_remaining_s: 0 };
     const address = `${ip}:${ports.application}`;
-    const entry = { address, born: 1_700_000_000_000, information, status };
-    store.put(`servers/${id}`, JSON.stringify(entry));
+    const entry = { address, service, zone, slots: SLOTS, state };
+    store.put(`servers/${id}`, formatMeshEntry(entry));
   }
 
   register("ready");
@@ -195,7 +177,7 @@
     new Array<string>(perService).fill(service)
   );
   const publish = (version: number, routes: readonly DemoRoute[]) => {
-    store.put("op/config", JSON.stringify(configurationOf(version, routes)));
+    store.put("op/config", configurationOf(version, routes));
   };
   publish(1, DEMO_ROUTES);
   const members = await Promise.all(
