feat(node): the platform is read by elected nodes on the users' platform too

Change: a node's id in the list decides. Two readers a data centre; two more probe them each second and take over if one does not answer or the store does not answer it, and step back after. A node that hears of no reader for 12 s reads by itself. Removals compare a list with what the node knows from any source. The first list may be stale; a new node lists until it finds peers and does not watch. Silent sources of a bundle are asked past after 300 ms. Readers draw their waits at random.

--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -11,7 +11,6 @@
   BOOTSTRAP_JITTER_MS,
   createGossipState,
   createMembership,
-  createReaderSelection,
   type Death,
   drawIndex,
   GOSSIP_PUSH_PERIOD_MS,
@@ -19,14 +18,14 @@
   type ListedInstance,
   type Membership,
   type News,
-  READER_ANTI_ENTROPY_PERIOD_MS,
+  type ReceiveOptions,
   type Router,
   SUSPECT_TTL_MS,
   type Suspects,
 } from "@coltsfootdeal/policy";
 import type { Audit } from "../admin/audit.ts";
-import { READER_CHECK_PERIOD_MS } from "../constants.ts";
 import { formatAddress, type NodeSettings } from "../settings.ts";
+import { createBroadcast } from "./broadcast.ts";
 import type { BundleStore } from "./bundle_store.ts";
 import { createBundleSync } from "./bundle_sync.ts";
 import type { ControlHandler, Identity, PulledValue } from "./control_api.ts";
@@ -39,10 +38,10 @@
   FACT_TOPIC_PREFIX,
   INSTANCE_TOPIC_PREFIX,
   parseNewsValue,
-  requiresPush,
   shortDigest,
 } from "./news.ts";
 import { createPeers } from "./peers.ts";
+import { createPlatformReader } from "./platform_reader.ts";
 import type {
   Feed,
   FeedSinks,
@@ -123,22 +122,16 @@
 const COMPARE_PUSH_NEWS_MAX = 1_024;
 /** Wait between two rounds of requests to seeds. */
 const BOOTSTRAP_RETRY_MS = 500;
-
 /** Creates an agent; `start` begins its timers and its bootstrap. */
 export function createAgent(config: AgentConfig): Agent {
   const { settings, clock, audit, store, router, control } = config;
   const ownControlAddress = formatAddress(settings.control);
   const gossip = createGossipState();
   const membership = createMembership();
-  const readers = createReaderSelection<ListedInstance>(settings.instance, {
-    dataCentre: settings.dataCentre,
-  });
   const seeds = settings.seeds.map(formatAddress).filter((a) =>
     a !== ownControlAddress
   );
   const peers = createPeers(ownControlAddress, seeds);
-  // If all nodes read the platform, what it publishes is not pushed to peers.
-  const allNodesRead = settings.readers === "all";
   const bundleSync = createBundleSync({
     ownControlAddress,
     service: settings.service,
@@ -147,29 +140,57 @@
     gossip,
     peers,
     control,
-    comparisonOnly: allNodesRead,
   });
   const ownAddress = formatAddress(settings.data);
   let listedId = settings.instance;
   let leaving = false;
   const timers: { readonly close: () => void }[] = [];
-  let comparedAt = clock.now();
+  /** Revision of the list entry of each instance that is not gone. */
+  const revisions = new Map<string, number>();
   let bootstrapped = seeds.length === 0;
   let closed = false;
 
   const feed = config.createFeed({
     onValues: offerBundles,
     onInstances: applyListedInstances,
+    onListed: finishList,
+    knownInstances: () =>
+      membership.all().map((listed) => ({
+        ...listed,
+        revision: revisions.get(listed.id) ?? 0,
+      })),
     onReachabilityChange: (reachable, reason) => {
       const event = reachable ? "platform_reachable" : "platform_unreachable";
       audit.record(event, { reason });
     },
   });
 
+  const platformReader = createPlatformReader({
+    dataCentre: settings.dataCentre,
+    clock,
+    audit,
+    control,
+    feed,
+    listedId: () => listedId,
+    members: () => membership.members(settings.dataCentre),
+    hasBundle: () => store.catalog() !== undefined,
+  });
+
+  const broadcast = createBroadcast({
+    ownControlAddress,
+    dataCentre: settings.dataCentre,
+    clock,
+    gossip,
+    peers,
+    control,
+    pushRecentNews,
+  });
+
   function offerBundles(values: readonly PlatformValue[]): void {
     for (const { key, value } of values) {
       bundleSync.offer(value, `platform ${key}`);
     }
+    broadcast.send([]);
   }
 
   function applyListedInstances(instances: readonly PlatformInstance[]): void {
@@ -178,22 +199,30 @@
       const topic = INSTANCE_TOPIC_PREFIX + listed.id;
       return { topic, version: revision, digest: shortDigest(value), value };
     });
-    applyNews(news);
+    const changed = applyNews(news).flatMap((item) =>
+      parseNewsValue<ListedInstance>(item) ?? []
+    );
+    broadcast.send(changed);
   }
 
-  /** Stores news; returns the items that were new or newer. */
-  function storeNews(news: readonly News[]): readonly News[] {
-    const now = clock.now();
-    return news.flatMap((item) => {
-      return gossip.receive([item], now, {
-        comparisonOnly: allNodesRead && !requiresPush(item),
-      });
-    });
+  /**
+   * After a list, a node that is not a reader need not watch. What changed since
+   * the list was made is left to the peers in it.
+   */
+  function finishList(): void {
+    platformReader.update();
+    if (!feed.active()) compareWithRandomPeer();
   }
 
-  /** Stores news and passes on what changed to the node's other parts. */
-  function applyNews(news: readonly News[]): void {
-    const fresh = storeNews(news);
+  /**
+   * Stores news and passes on what changed to the node's other parts; returns
+   * the items that were new or newer.
+   */
+  function applyNews(
+    news: readonly News[],
+    options: ReceiveOptions = {},
+  ): readonly News[] {
+    const fresh = gossip.receive(news, clock.now(), options);
     let changed = false;
     for (const item of fresh) {
       if (item.topic.startsWith(INSTANCE_TOPIC_PREFIX)) {
@@ -207,12 +236,19 @@
       }
     }
     if (changed) refreshRoutes();
+    return fresh;
   }
 
   function applyInstanceNews(news: News): boolean {
     const instance = parseNewsValue<ListedInstance>(news);
     if (instance === undefined) return false;
     const { id, service, dataCentre, state } = instance;
+    if (state === "gone") {
+      revisions.delete(id);
+      broadcast.recordDeparture(instance);
+    } else {
+      revisions.set(id, news.version);
+    }
     if (membership.applyListed(instance, clock.now())) {
       const event = state === "gone" ? "instance_gone" : "instance_listed";
       audit.record(event, { id, service, dataCentre, state });
@@ -274,7 +310,10 @@
     const { dataCentre, dataCentres } = settings;
     // The first data centre is this node's own.
     peers.update({
-      local: membership.members(dataCentre),
+      // Nodes whose backend server is leaving still serve their callers.
+      local: membership.all().filter((other) =>
+        other.dataCentre === dataCentre
+      ),
       remote: dataCentres.slice(1).flatMap(membership.members),
     });
   }
@@ -291,8 +330,12 @@
    * directions; false on failure.
    */
   async function compareWith(peer: string): Promise<boolean> {
-    const reply = await control.compare(peer, gossip.compare(clock.now()));
+    const reply = await control.compare(peer, {
+      ...gossip.compare(clock.now()),
+      ...platformReader.contact(),
+    });
     if (reply.isErr()) return false;
+    platformReader.recordContact(reply.value);
     applyNews(reply.value.recent);
     if (reply.value.buckets === undefined) return true;
     const ownNews = gossip.differing(reply.value.buckets, clock.now());
@@ -306,15 +349,7 @@
     return true;
   }
 
-  /**
-   * Compares with a random peer; less often while all nodes read the platform
-   * and it answers.
-   */
   function compareWithRandomPeer(): void {
-    const now = clock.now();
-    const isReading = allNodesRead && feed.reachable();
-    if (isReading && now - comparedAt < READER_ANTI_ENTROPY_PERIOD_MS) return;
-    comparedAt = now;
     const candidates = peers.sample();
     const peer = candidates[drawIndex(Math.random, candidates.length)];
     if (peer !== undefined) compareWith(peer);
@@ -339,40 +374,12 @@
     bootstrapped = true;
   }
 
-  /** Starts or stops reading the platform, as the reader selection decides. */
-  function updateReaderRole(): void {
-    if (!bootstrapped) return;
-    const members = membership.members(settings.dataCentre);
-    const role = readers.role(members, clock.now());
-    // A node without a fleet bundle reads the platform in any role.
-    const shouldRead = settings.readers === "all" ||
-      role.kind === "reader" || store.catalog() === undefined;
-    if (shouldRead && !feed.active()) {
-      audit.record("reader_started");
-      feed.start();
-    }
-    if (!shouldRead && feed.active()) {
-      audit.record("reader_stopped");
-      feed.stop();
-    }
-    if (!shouldRead && role.kind === "standby") probeReaders(role.probe);
-  }
-
-  /** Checks whether the nodes ranked before this one as readers respond. */
-  async function probeReaders(
-    members: readonly ListedInstance[],
-  ): Promise<void> {
-    for (const { id, control: address } of members) {
-      const reply = await control.identity(address);
-      readers.recordProbe(id, reply.isOk(), clock.now());
-    }
-  }
-
   function identity(): Identity {
     return {
       instance: listedId,
       incarnation: config.incarnation,
       ready: store.catalog() !== undefined,
+      readsPlatform: feed.active() && feed.reachable(),
     };
   }
 
@@ -389,10 +396,19 @@
   return {
     controlHandler: {
       identity,
-      push: applyNews,
+      push: (news) => {
+        applyNews(news);
+      },
+      inform: (news) => {
+        applyNews(news, { comparisonOnly: true });
+      },
       compare: (comparison) => {
+        platformReader.recordContact(comparison);
         applyNews(comparison.recent);
-        return gossip.reply(comparison, clock.now());
+        return {
+          ...gossip.reply(comparison, clock.now()),
+          ...platformReader.contact(),
+        };
       },
       differing: (buckets) => gossip.differing(buckets, clock.now()),
       pull,
@@ -403,13 +419,14 @@
       timers.push(
         clock.every(GOSSIP_PUSH_PERIOD_MS, pushRecentNews),
         clock.every(ANTI_ENTROPY_PERIOD_MS, compareWithRandomPeer),
-        clock.every(READER_CHECK_PERIOD_MS, updateReaderRole),
       );
-      bootstrap().then(updateReaderRole);
+      bootstrap().then(() => {
+        if (!closed) platformReader.start();
+      });
     },
     recordInstanceFact: (fact) => {
       if (applyFact(fact)) {
-        storeNews([createFactNews(fact)]);
+        gossip.receive([createFactNews(fact)], clock.now());
         refreshRoutes();
       }
     },
@@ -464,7 +481,8 @@
     close: () => {
       closed = true;
       bundleSync.close();
-      feed.close();
+      platformReader.close();
+      broadcast.close();
       for (const timer of timers) timer.close();
     },
   };
--- a/packages/node/src/agent/bundle_sync.ts
+++ b/packages/node/src/agent/bundle_sync.ts
@@ -1,7 +1,7 @@
 /** Fetches newer versions of the bundles that a node uses, from its peers. */
 
 import { FLEET_SCOPE } from "@coltsfootdeal/bundle";
-import type { Clock } from "@coltsfootdeal/kernel";
+import type { Clock, Timer } from "@coltsfootdeal/kernel";
 import {
   compareVersions,
   type GossipState,
@@ -23,11 +23,6 @@
   readonly gossip: GossipState;
   readonly peers: Peers;
   readonly control: ControlClient;
-  /**
-   * Whether peers read the same platform as this node: announcements are then
-   * not pushed, only exchanged in comparisons.
-   */
-  readonly comparisonOnly: boolean;
 }
 
 /** Fetches newer bundles that this node uses and announces those in force. */
@@ -41,6 +36,9 @@
   readonly close: () => void;
 }
 
+/** Time after which the next source is asked beside one that is silent. */
+const FETCH_HEDGE_DELAY_MS = 300;
+
 function scopeOf({ topic }: News): string {
   return topic.slice(BUNDLE_TOPIC_PREFIX.length);
 }
@@ -64,10 +62,7 @@
       digest,
       source: ownControlAddress,
     };
-    const { comparisonOnly } = config;
-    gossip.receive([announcement], config.clock.now(), {
-      comparisonOnly: comparisonOnly,
-    });
+    gossip.receive([announcement], config.clock.now());
   }
 
   function offer(text: string, from: string): boolean {
@@ -101,13 +96,10 @@
     if (fetchesInFlight.has(key)) return;
     fetchesInFlight.add(key);
     try {
-      const sources = [news.source, ...peers.sample()];
-      for (const source of sources) {
-        if (source === undefined || source === ownControlAddress || closed) {
-          continue;
-        }
-        if (await fetchFrom(source, news)) return;
-      }
+      const sources = [news.source ?? [], ...peers.sample()].flat().filter(
+        (source) => source !== ownControlAddress,
+      );
+      if (await fetchFromAny(sources, news)) return;
       // None of the sources has it. A later comparison delivers the
       // announcement again.
       restoreAnnouncement(news);
@@ -116,6 +108,42 @@
     }
   }
 
+  /**
+   * Asks the sources one after the other, without waiting long for one that
+   * does not answer; true as soon as one of them was of use.
+   */
+  function fetchFromAny(
+    sources: readonly string[],
+    news: News,
+  ): Promise<boolean> {
+    return new Promise((resolve) => {
+      let asked = 0;
+      let unanswered = 0;
+      let succeeded = false;
+      let timer: Timer | undefined;
+
+      function askNext(): void {
+        timer?.close();
+        const source = sources[asked];
+        if (source === undefined || closed || succeeded) {
+          if (unanswered === 0) resolve(succeeded);
+          return;
+        }
+        asked++;
+        unanswered++;
+        timer = config.clock.after(FETCH_HEDGE_DELAY_MS, askNext);
+        fetchFrom(source, news).then((wasUseful) => {
+          unanswered--;
+          succeeded ||= wasUseful;
+          if (succeeded) resolve(true);
+          askNext();
+        });
+      }
+
+      askNext();
+    });
+  }
+
   /** Fetches a bundle from one node; false if another one should be asked. */
   async function fetchFrom(source: string, news: News): Promise<boolean> {
     const pulled = await control.pull(source, [news.topic]);
--- a/packages/node/src/agent/control_api.ts
+++ b/packages/node/src/agent/control_api.ts
@@ -15,15 +15,27 @@
   readonly instance: string;
   readonly incarnation: string;
   readonly ready: boolean;
+  /** Whether it is a reader and the platform answers it. */
+  readonly readsPlatform: boolean;
+}
+
+/** What a node has heard of the nodes that read the platform. */
+export interface ReaderContact {
+  /** Time in ms since some node read the platform; absent if unknown. */
+  readonly readerAgeMs?: number;
 }
 
 /** Handlers of the control messages, which the agent provides. */
 export interface ControlHandler {
   readonly identity: () => Identity;
-  /** Receives news from a peer. */
+  /** Receives news from a peer, to be pushed on. */
   readonly push: (news: readonly News[]) => void;
+  /** Receives news from a reader, which informs the other nodes as well. */
+  readonly inform: (news: readonly News[]) => void;
   /** Answers a peer's anti-entropy comparison with what differs. */
-  readonly compare: (comparison: Comparison) => ComparisonReply;
+  readonly compare: (
+    comparison: Comparison & ReaderContact,
+  ) => ComparisonReply & ReaderContact;
   /** Returns the news in the buckets whose hash differs from the given one. */
   readonly differing: (buckets: readonly number[]) => readonly News[];
   /** Returns the values of topics; topics without a value are left out. */
@@ -63,12 +75,20 @@
     push: trpc.procedure.input(NEWS_LIST_SCHEMA).mutation(({ input }) => {
       handler.push(input.map(omitUndefined));
     }),
+    inform: trpc.procedure.input(NEWS_LIST_SCHEMA).mutation(({ input }) => {
+      handler.inform(input.map(omitUndefined));
+    }),
     compare: trpc.procedure
-      .input(z.object({ settled: z.number(), recent: NEWS_LIST_SCHEMA }))
-      .mutation(({ input }) =>
+      .input(z.object({
+        settled: z.number(),
+        recent: NEWS_LIST_SCHEMA,
+        readerAgeMs: z.number().nonnegative().optional(),
+      }))
+      .mutation(({ input: { settled, recent, readerAgeMs } }) =>
         handler.compare({
-          settled: input.settled,
-          recent: input.recent.map(omitUndefined),
+          settled,
+          recent: recent.map(omitUndefined),
+          ...(readerAgeMs === undefined ? {} : { readerAgeMs }),
         })
       ),
     differing: trpc.procedure
--- a/packages/node/src/agent/control_client.ts
+++ b/packages/node/src/agent/control_client.ts
@@ -6,7 +6,12 @@
 import { err, ok, type Result } from "neverthrow";
 import { CONTROL_CLIENTS_MAX, CONTROL_TIMEOUT_MS } from "../constants.ts";
 import type { HttpClient } from "../http_client.ts";
-import type { ControlRouter, Identity, PulledValue } from "./control_api.ts";
+import type {
+  ControlRouter,
+  Identity,
+  PulledValue,
+  ReaderContact,
+} from "./control_api.ts";
 
 /** The node did not reply in time, or replied with an error. */
 export interface ControlError {
@@ -23,10 +28,14 @@
     address: string,
     news: readonly News[],
   ) => Promise<Result<void, ControlError>>;
+  readonly inform: (
+    address: string,
+    news: readonly News[],
+  ) => Promise<Result<void, ControlError>>;
   readonly compare: (
     address: string,
-    comparison: Comparison,
-  ) => Promise<Result<ComparisonReply, ControlError>>;
+    comparison: Comparison & ReaderContact,
+  ) => Promise<Result<ComparisonReply & ReaderContact, ControlError>>;
   readonly differing: (
     address: string,
     buckets: readonly number[],
@@ -109,11 +118,19 @@
         address,
         (client, options) => client.push.mutate([...news], options),
       ),
-    compare: (address, { settled, recent }) =>
+    inform: (address, news) =>
+      request(
+        address,
+        (client, options) => client.inform.mutate([...news], options),
+      ),
+    compare: (address, { recent, ...comparison }) =>
       request(
         address,
         (client, options) =>
-          client.compare.mutate({ settled, recent: [...recent] }, options),
+          client.compare.mutate(
+            { ...comparison, recent: [...recent] },
+            options,
+          ),
       ),
     differing: (address, buckets) =>
       request(
--- a/packages/node/src/agent/feed.ts
+++ b/packages/node/src/agent/feed.ts
@@ -18,6 +18,10 @@
 export interface FeedSinks {
   readonly onValues: (values: readonly PlatformValue[]) => void;
   readonly onInstances: (instances: readonly PlatformInstance[]) => void;
+  /** Called after all keys were read, for a feed that begins with a list. */
+  readonly onListed: () => void;
+  /** Instances that the node knows from any source, without those gone. */
+  readonly knownInstances: () => readonly PlatformInstance[];
   /** Called when the platform becomes reachable or unreachable. */
   readonly onReachabilityChange: (reachable: boolean, reason: string) => void;
 }
@@ -26,6 +30,8 @@
 export interface Feed {
   readonly start: () => void;
   readonly stop: () => void;
+  /** Reads the present state once, without waiting for changes. */
+  readonly readOnce: () => void;
   readonly active: () => boolean;
   /** Whether the last request to the platform was answered. */
   readonly reachable: () => boolean;
--- a/packages/node/src/agent/key_feed.ts
+++ b/packages/node/src/agent/key_feed.ts
@@ -49,10 +49,21 @@
   /** The history after the requested revision was compacted. */
   | { readonly kind: "compacted" };
 
+/** Which page of a list is read. */
+export interface StoreListQuery {
+  /** Key after which the page begins; undefined for the first page. */
+  readonly after: string | undefined;
+  /**
+   * Whether the page may be out of date, which makes the read cheaper. A watch
+   * from the revision of such a page returns what has changed since.
+   */
+  readonly allowsStale: boolean;
+}
+
 /** Reads from the store; each is a single request. */
 export interface StoreReader {
   readonly list: (
-    after: string | undefined,
+    query: StoreListQuery,
     signal: AbortSignal,
   ) => Promise<Result<StorePage, StoreError>>;
   readonly watch: (
@@ -73,19 +84,27 @@
   return error.kind === "compacted" ? "history compacted" : error.reason;
 }
 
+/**
+ * Draws the wait of a watch. Readers of a fleet draw it independently, so that
+ * connections which went silent together are noticed one after the other.
+ */
+function drawWatchWait(): number {
+  return Math.round(STORE_WATCH_WAIT_MS * (0.5 + Math.random() / 2));
+}
+
 /** Creates a feed that has not started. */
 export function createKeyValueFeed(config: KeyValueFeedConfig): Feed {
   const { clock, reader } = config;
-  const knownInstances = new Map<string, PlatformInstance>();
   const pendingRemovals = new Map<string, Timer>();
+  const closing = new AbortController();
   let abort: AbortController | undefined;
+  let isListing = false;
   const reachability = createReachability(config.onReachabilityChange);
 
   function remove(id: string, revision: number): void {
-    const instance = knownInstances.get(id);
-    if (instance === undefined) return;
-    knownInstances.delete(id);
-    config.onInstances([{ ...instance, state: "gone", revision }]);
+    const known = config.knownInstances().find((other) => other.id === id);
+    if (known === undefined || known.revision >= revision) return;
+    config.onInstances([{ ...known, state: "gone", revision }]);
   }
 
   function cancelRemoval(id: string): void {
@@ -103,7 +122,6 @@
           break;
         case "instance":
           cancelRemoval(change.instance.id);
-          knownInstances.set(change.instance.id, change.instance);
           instances.push(change.instance);
           break;
         case "removed":
@@ -121,13 +139,15 @@
   /**
    * Removes the known instances that a list lacks, after a grace period: leases
    * that expired during an outage of the store are written again soon after it.
+   * Instances that were written after the list was made are kept.
    */
   function scheduleRemovals(
     listed: ReadonlySet<string>,
     revision: number,
   ): void {
-    for (const id of knownInstances.keys()) {
+    for (const { id, revision: knownRevision } of config.knownInstances()) {
       if (listed.has(id) || pendingRemovals.has(id)) continue;
+      if (knownRevision >= revision) continue;
       const timer = clock.after(STORE_REWRITE_GRACE_MS, () => {
         pendingRemovals.delete(id);
         remove(id, revision);
@@ -138,12 +158,13 @@
 
   async function list(
     signal: AbortSignal,
+    allowsStale: boolean,
   ): Promise<Result<number, StoreError>> {
     const listed = new Set<string>();
     let firstRevision: number | undefined;
     let after: string | undefined;
     for (;;) {
-      const page = await reader.list(after, signal);
+      const page = await reader.list({ after, allowsStale }, signal);
       if (page.isErr()) return page.map(() => 0);
       if (signal.aborted) return page.map(() => 0);
       // Pages are not one snapshot, so the watch starts at the revision of the
@@ -155,8 +176,9 @@
       apply(page.value.changes);
       after = page.value.next;
       if (after === undefined) {
-        scheduleRemovals(listed, page.value.revision);
         const revision = firstRevision;
+        scheduleRemovals(listed, revision);
+        config.onListed();
         return page.map(() => revision);
       }
     }
@@ -164,10 +186,12 @@
 
   async function run(signal: AbortSignal): Promise<void> {
     let revision: number | undefined;
+    // A list after a compaction must include what the lost history held.
+    let allowsStaleList = true;
     let failures = 0;
     while (!signal.aborted) {
       const result = revision === undefined
-        ? await list(signal)
+        ? await list(signal, allowsStaleList)
         : await watch(revision, signal);
       if (signal.aborted) return;
       if (result.isOk()) {
@@ -178,6 +202,7 @@
       }
       if (result.error.kind === "compacted") {
         revision = undefined;
+        allowsStaleList = false;
         continue;
       }
       failures++;
@@ -193,7 +218,7 @@
   ): Promise<Result<number, StoreError>> {
     // After an error the watch does not wait for a change, so that a store that
     // works again is noticed at once.
-    const waitMs = reachability.get() ? STORE_WATCH_WAIT_MS : 0;
+    const waitMs = reachability.get() ? drawWatchWait() : 0;
     const result = await reader.watch({ after, waitMs }, signal);
     if (result.isOk() && !signal.aborted) {
       const { changes } = result.value;
@@ -214,10 +239,21 @@
       abort?.abort();
       abort = undefined;
     },
+    readOnce: async () => {
+      if (abort !== undefined || isListing) return;
+      isListing = true;
+      const listed = await list(closing.signal, true);
+      isListing = false;
+      listed.match(
+        () => reachability.set(true, "answered"),
+        (error) => reachability.set(false, formatError(error)),
+      );
+    },
     active: () => abort !== undefined,
     reachable: reachability.get,
     close: () => {
       abort?.abort();
+      closing.abort();
       for (const timer of pendingRemovals.values()) timer.close();
     },
   };
--- a/packages/node/src/agent/news.ts
+++ b/packages/node/src/agent/news.ts
@@ -64,16 +64,3 @@
     return undefined;
   }
 }
-
-/**
- * Whether news is pushed to peers even if all nodes read the instance list from
- * the platform. Entries of the list and facts of live instances are not. That an
- * instance is leaving is pushed, because the list contains it too late; all
- * other news, because the list does not contain it.
- */
-export function requiresPush(news: News): boolean {
-  if (!news.topic.startsWith(FACT_TOPIC_PREFIX)) {
-    return !news.topic.startsWith(INSTANCE_TOPIC_PREFIX);
-  }
-  return parseNewsValue<InstanceFact>(news)?.leaving === true;
-}
--- a/packages/node/src/agent/peers.ts
+++ b/packages/node/src/agent/peers.ts
@@ -12,6 +12,10 @@
   }) => void;
   /** Returns a few random peers, or all seeds while no peers are known. */
   readonly sample: () => readonly string[];
+  /** Returns all peers of the node's own data centre. */
+  readonly local: () => readonly string[];
+  /** Returns a few random peers of other data centres. */
+  readonly sampleRemote: () => readonly string[];
   /**
    * Adds the address of a node that this node heard from to the seeds, which
    * serve as peers only while no others are known. The oldest seed may be
@@ -70,6 +74,8 @@
       ];
       return selected.length > 0 ? selected : seeds;
     },
+    local: () => local,
+    sampleRemote: () => sampleAddresses(remote, REMOTE_PEER_CANDIDATES),
     addSeed: (address) => {
       if (address === ownAddress || seeds.includes(address)) return;
       seeds = [...seeds, address].slice(-SEEDS_MAX);
--- /dev/null
+++ b/packages/node/src/agent/platform_reader.ts
@@ -0,0 +1,125 @@
+/**
+ * Reads the platform while this node is one of the readers of its data centre,
+ * and probes the readers that it would replace.
+ */
+
+import type { Clock, Timer } from "@coltsfootdeal/kernel";
+import {
+  createReaderSelection,
+  type ListedInstance,
+} from "@coltsfootdeal/policy";
+import type { Audit } from "../admin/audit.ts";
+import {
+  READER_CHECK_PERIOD_MS,
+  READER_PROBE_PERIOD_MS,
+} from "../constants.ts";
+import type { ReaderContact } from "./control_api.ts";
+import type { ControlClient } from "./control_client.ts";
+import type { Feed } from "./feed.ts";
+
+/** Resolved configuration of a platform reader. */
+export interface PlatformReaderConfig {
+  readonly dataCentre: string;
+  readonly clock: Clock;
+  readonly audit: Audit;
+  readonly control: ControlClient;
+  readonly feed: Feed;
+  /** Id of this node's entry in the instance list. */
+  readonly listedId: () => string;
+  /** Instances of the data centre that are listed as live. */
+  readonly members: () => readonly ListedInstance[];
+  readonly hasBundle: () => boolean;
+}
+
+/** Reads the platform if and while this node is a reader. */
+export interface PlatformReader {
+  /** Begins the periodic checks. Before it, the platform is not read. */
+  readonly start: () => void;
+  /** Starts or stops reading, as the reader selection decides. */
+  readonly update: () => void;
+  /** What this node has heard of readers, for a peer. */
+  readonly contact: () => ReaderContact;
+  /** Records what a peer has heard of readers. */
+  readonly recordContact: (contact: ReaderContact) => void;
+  readonly close: () => void;
+}
+
+/** Time after its start at which a node without a bundle reads the platform. */
+const BUNDLE_WAIT_MS = 3_000;
+
+/** Creates a platform reader that has not started. */
+export function createPlatformReader(
+  config: PlatformReaderConfig,
+): PlatformReader {
+  const { clock, audit, control, feed } = config;
+  const timers: Timer[] = [];
+  const readers = createReaderSelection<ListedInstance>({
+    dataCentre: config.dataCentre,
+    now: clock.now(),
+  });
+  let startedAt: number | undefined;
+
+  function role() {
+    const context = { self: config.listedId(), now: clock.now() };
+    return readers.role(config.members(), context);
+  }
+
+  function update(): void {
+    if (startedAt === undefined) return;
+    const now = clock.now();
+    if (feed.active()) readers.recordContact(0, now);
+    const { kind } = role();
+    if (kind === "unlisted") return feed.readOnce();
+    const lacksBundle = !config.hasBundle() && now - startedAt > BUNDLE_WAIT_MS;
+    const shouldRead = kind === "reader" || lacksBundle;
+    if (shouldRead === feed.active()) return;
+    const event = shouldRead ? "reader_started" : "reader_stopped";
+    audit.record(event, { role: kind, members: config.members().length });
+    if (shouldRead) feed.start();
+    else feed.stop();
+  }
+
+  function probeReaders(): void {
+    const current = role();
+    switch (current.kind) {
+      case "reader":
+      case "standby":
+        for (const member of current.probe) probeReader(member);
+        break;
+      case "unlisted":
+      case "none":
+    }
+  }
+
+  async function probeReader(member: ListedInstance): Promise<void> {
+    const reply = await control.identity(member.control);
+    const reads = reply.isOk() && reply.value.readsPlatform;
+    if (reads) readers.recordContact(0, clock.now());
+    readers.recordProbe(member.id, reads, clock.now());
+  }
+
+  return {
+    start: () => {
+      startedAt = clock.now();
+      timers.push(
+        clock.every(READER_CHECK_PERIOD_MS, update),
+        clock.every(READER_PROBE_PERIOD_MS, probeReaders),
+      );
+      update();
+    },
+    update,
+    contact: () => {
+      const ageMs = feed.active() ? 0 : readers.contactAgeMs(clock.now());
+      return ageMs === undefined ? {} : { readerAgeMs: ageMs };
+    },
+    recordContact: ({ readerAgeMs }) => {
+      if (readerAgeMs === undefined) return;
+      readers.recordContact(readerAgeMs, clock.now());
+    },
+    close: () => {
+      startedAt = undefined;
+      for (const timer of timers) timer.close();
+      feed.close();
+    },
+  };
+}
--- a/packages/node/src/agent/platform_watch.ts
+++ b/packages/node/src/agent/platform_watch.ts
@@ -28,6 +28,7 @@
   config: PlatformWatchConfig,
 ): Feed {
   const { clock, platform } = config;
+  const closing = new AbortController();
   let abort: AbortController | undefined;
   const reachability = createReachability(config.onReachabilityChange);
 
@@ -59,6 +60,18 @@
     }
   }
 
+  async function readOnce<Item>(
+    read: Read<Item>,
+    onItems: (items: readonly Item[]) => void,
+  ): Promise<void> {
+    const result = await read({ after: 0, waitMs: 0 }, closing.signal);
+    if (closing.signal.aborted) return;
+    result.match(({ items }) => {
+      reachability.set(true, "answered");
+      if (items.length > 0) onItems(items);
+    }, (error) => reachability.set(false, error));
+  }
+
   return {
     start: () => {
       if (abort !== undefined) return;
@@ -71,8 +84,15 @@
       abort?.abort();
       abort = undefined;
     },
+    readOnce: () => {
+      readOnce(platform.values, config.onValues);
+      readOnce(platform.instances, config.onInstances);
+    },
     active: () => abort !== undefined,
     reachable: reachability.get,
-    close: () => abort?.abort(),
+    close: () => {
+      abort?.abort();
+      closing.abort();
+    },
   };
 }
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -64,14 +64,15 @@
 export const PLATFORM_RETRY_MIN_MS = 200;
 /**
  * Longest time that a key-value store holds a watch request open. A connection
- * that fails without a reset is noticed after this plus STORE_TIMEOUT_MS.
+ * that fails without a reset is noticed after this plus STORE_TIMEOUT_MS by its
+ * own reader; until then, the fleet depends on the other readers.
  */
-export const STORE_WATCH_WAIT_MS = 4_000;
+export const STORE_WATCH_WAIT_MS = 8_000;
 /**
  * Pause after a change before the next watch of a store. The platform charges
  * for each call to the store, so one call should return several changes.
  */
-export const STORE_WATCH_PAUSE_MS = 250;
+export const STORE_WATCH_PAUSE_MS = 500;
 /** Time beyond the requested wait after which a call to a store times out. */
 export const STORE_TIMEOUT_MS = 1_000;
 /**
@@ -164,13 +165,15 @@
  */
 export const LATE_ANSWER_WAIT_MS = 30_000;
 /** Longest time to wait for the reply of another node's control listener. */
-export const CONTROL_TIMEOUT_MS = 2_000;
+export const CONTROL_TIMEOUT_MS = 1_000;
 /**
  * Interval at which a node checks whether it has to watch the platform for
  * changes. Usually only readers do, the nodes of a data centre that are
  * selected for it; the others receive the changes by gossip.
  */
 export const READER_CHECK_PERIOD_MS = 1_000;
+/** Interval at which a node probes the readers that it would replace. */
+export const READER_PROBE_PERIOD_MS = 1_000;
 /** Peers of other data centres among the candidates of one gossip round. */
 export const REMOTE_PEER_CANDIDATES = 2;
 /**
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -51,11 +51,6 @@
    * @default "settings"
    */
   readonly backendFrom?: "settings" | "instance_list";
-  /**
-   * Which nodes watch the platform: the elected readers or every node.
-   * @default "elected"
-   */
-  readonly readers?: "elected" | "all";
   /** Bounds that the platform sets on retries; none by default. */
   readonly retries?: RetryBounds;
   /** Grace period from the stop signal until the process is killed, in ms. */
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -138,24 +138,34 @@
 /** Period of the push rounds. */
 export const GOSSIP_PUSH_PERIOD_MS = 200;
 /** Period of the anti-entropy comparisons with a random peer. */
-export const ANTI_ENTROPY_PERIOD_MS = 1_000;
-/** The same while a node reads all news from the platform directly. */
-export const READER_ANTI_ENTROPY_PERIOD_MS = 10_000;
+export const ANTI_ENTROPY_PERIOD_MS = 2_000;
 /** Age from which news is settled: compared by hash instead of in full. */
-export const SETTLED_AFTER_MS = 10_000;
+export const SETTLED_AFTER_MS = 2_000;
 /** Number of hash buckets in which settled news is compared. */
 export const ANTI_ENTROPY_BUCKETS = 256;
 /** Maximum number of news items in one message. */
 export const GOSSIP_MESSAGE_ITEMS_MAX = 256;
 
 /** Nodes per data centre that watch the platform, called readers. */
-export const READERS_PER_DATA_CENTRE = 3;
+export const READERS_PER_DATA_CENTRE = 2;
 /** Further nodes per data centre that probe the readers and replace them. */
-export const STANDBY_READERS_PER_DATA_CENTRE = 3;
+export const STANDBY_READERS_PER_DATA_CENTRE = 2;
 /** Consecutive failed probes after which a node is not a reader. */
 export const READER_PROBE_FAILURES = 2;
-/** Time for which an unreachable node is excluded from the readers. */
+/**
+ * Time for which a node that failed its probes is not a reader, unless a later
+ * probe succeeds.
+ */
 export const READER_SUSPECT_TTL_MS = 30_000;
+/**
+ * Time without a sign of any reader after which a node reads the platform
+ * itself. Above the time that gossip takes to carry signs of life to all nodes.
+ */
+export const READER_CONTACT_AGE_MAX_MS = 12_000;
+/** Shortest time for which such a node goes on reading. */
+export const READER_STAND_IN_MS = 10_000;
+/** Time after its start for which a node only lists instances to find peers. */
+export const UNLISTED_MAX_MS = 5_000;
 /** Longest random delay before a node without peers queries the platform. */
 export const BOOTSTRAP_JITTER_MS = 10_000;
 /** Lifetime of the fact that an instance is leaving. */
--- a/packages/policy/src/readers.ts
+++ b/packages/policy/src/readers.ts
@@ -1,69 +1,124 @@
 /**
  * Selects the readers: the nodes of a data centre that watch the platform for
- * changes. The others receive the changes by gossip.
+ * changes. The others receive the changes by gossip, so the load of the
+ * platform grows with the number of data centres and not with that of nodes.
  */
 
 import {
+  READER_CONTACT_AGE_MAX_MS,
   READER_PROBE_FAILURES,
+  READER_STAND_IN_MS,
   READER_SUSPECT_TTL_MS,
   READERS_PER_DATA_CENTRE,
   STANDBY_READERS_PER_DATA_CENTRE,
+  UNLISTED_MAX_MS,
 } from "./constants.ts";
 import { resolveRanking } from "./subset.ts";
 
 /** Role of a node towards the platform. */
 export type ReaderRole<Member> =
-  | { readonly kind: "reader" }
-  /** Probes the nodes selected before it, to replace one that fails. */
+  | {
+    readonly kind: "reader";
+    /** Nodes ranked before it; empty unless it stands in for one of them. */
+    readonly probe: readonly Member[];
+  }
+  /** Probes the nodes ranked before it, to replace one that fails. */
   | { readonly kind: "standby"; readonly probe: readonly Member[] }
+  /**
+   * No member of its data centre is known to this node, which has just started:
+   * it lists the instances until it finds some.
+   */
+  | { readonly kind: "unlisted" }
   | { readonly kind: "none" };
 
+/** What a role is decided from. */
+export interface ReaderContext {
+  /** Id of this node's entry in the instance list. */
+  readonly self: string;
+  readonly now: number;
+}
+
 /** Selects readers by rendezvous hashing among the members that respond. */
 export interface ReaderSelection<Member> {
-  /** The role of this node at present. */
+  /** The role of this node at present, given the data centre's members. */
   readonly role: (
     members: readonly Member[],
-    now: number,
+    context: ReaderContext,
   ) => ReaderRole<Member>;
-  /** Records the result of a probe. */
-  readonly recordProbe: (id: string, answered: boolean, now: number) => void;
+  /** Records whether a probed node answered that it reads the platform. */
+  readonly recordProbe: (id: string, reads: boolean, now: number) => void;
+  /** Records that some node of the fleet read the platform `ageMs` ago. */
+  readonly recordContact: (ageMs: number, now: number) => void;
+  /** Time in ms since the latest recorded contact; undefined without one. */
+  readonly contactAgeMs: (now: number) => number | undefined;
 }
 
-/** Creates the selection as computed by the instance `self`. */
+/** Creates a selection at the start of the process. */
 export function createReaderSelection<Member extends { readonly id: string }>(
-  self: string,
-  options: { readonly dataCentre: string },
+  options: { readonly dataCentre: string; readonly now: number },
 ): ReaderSelection<Member> {
   const failures = new Map<string, number>();
   const suspectUntil = new Map<string, number>();
+  let contactAt: number | undefined;
+  let standsInUntil = -Infinity;
+
+  function responds({ id }: Member, now: number): boolean {
+    return (suspectUntil.get(id) ?? -Infinity) <= now;
+  }
+
+  /** Whether the fleet seems to have no reader that this node can hear. */
+  function isWithoutReaders(now: number): boolean {
+    if (now - (contactAt ?? options.now) > READER_CONTACT_AGE_MAX_MS) {
+      standsInUntil = now + READER_STAND_IN_MS;
+    }
+    return now < standsInUntil;
+  }
 
   return {
-    role: (members, now) => {
-      const alive = members.filter(({ id }) =>
-        (suspectUntil.get(id) ?? -Infinity) <= now
-      );
-      const first = resolveRanking(alive, { hashKey: options.dataCentre })
-        .slice(0, READERS_PER_DATA_CENTRE + STANDBY_READERS_PER_DATA_CENTRE);
-      const position = first.findIndex(({ id }) => id === self);
-      // Without any node that responds, this node reads the platform itself.
-      const selfUnknown = !members.some(({ id }) => id === self);
-      if (members.length === 0 || selfUnknown && alive.length === 0) {
-        return { kind: "reader" };
+    role: (members, { self, now }) => {
+      const withoutReaders = isWithoutReaders(now);
+      if (members.length === 0) {
+        return now - options.now < UNLISTED_MAX_MS
+          ? { kind: "unlisted" }
+          : { kind: "reader", probe: [] };
       }
-      if (position < 0) return { kind: "none" };
-      if (position < READERS_PER_DATA_CENTRE) return { kind: "reader" };
-      return { kind: "standby", probe: first.slice(0, position) };
+      // Only the first nodes by rank ever replace each other: if the platform
+      // refuses all of them, it most likely refuses the rest as well.
+      const candidates = resolveRanking(members, {
+        hashKey: options.dataCentre,
+      }).slice(0, READERS_PER_DATA_CENTRE + STANDBY_READERS_PER_DATA_CENTRE);
+      const position = candidates.findIndex(({ id }) => id === self);
+      if (position < 0) {
+        return withoutReaders
+          ? { kind: "reader", probe: [] }
+          : { kind: "none" };
+      }
+      if (position < READERS_PER_DATA_CENTRE) {
+        return { kind: "reader", probe: [] };
+      }
+      const before = candidates.slice(0, position);
+      const readers = before.filter((member) => responds(member, now));
+      const isNeeded = readers.length < READERS_PER_DATA_CENTRE;
+      if (isNeeded || withoutReaders) return { kind: "reader", probe: before };
+      const first = candidates.slice(0, READERS_PER_DATA_CENTRE);
+      const firstRespond = first.every((member) => responds(member, now));
+      return { kind: "standby", probe: firstRespond ? first : before };
     },
-    recordProbe: (id, answered, now) => {
-      if (answered) {
+    recordProbe: (id, reads, now) => {
+      if (reads) {
         failures.delete(id);
+        suspectUntil.delete(id);
         return;
       }
       const count = (failures.get(id) ?? 0) + 1;
       failures.set(id, count);
       if (count < READER_PROBE_FAILURES) return;
-      failures.delete(id);
       suspectUntil.set(id, now + READER_SUSPECT_TTL_MS);
     },
+    recordContact: (ageMs, now) => {
+      contactAt = Math.max(contactAt ?? -Infinity, now - Math.max(0, ageMs));
+    },
+    contactAgeMs: (now) =>
+      contactAt === undefined ? undefined : now - contactAt,
   };
 }
--- a/packages/policy/src/spread.ts
+++ b/packages/policy/src/spread.ts
@@ -53,8 +53,8 @@
 /** How news is received. */
 export interface ReceiveOptions {
   /**
-   * Whether the news is left out of pushes, because the peers read it from the
-   * same source as this node. Comparisons still include it.
+   * Whether the news is left out of pushes, because another node informs the
+   * peers. Comparisons still include it.
    * @default false
    */
   readonly comparisonOnly?: boolean;
@@ -73,6 +73,10 @@
     peers: readonly Peer[],
     options: { readonly now: number; readonly random: Random },
   ) => readonly Push<Peer>[];
+  /** News that is still to be pushed, up to a maximum number. */
+  readonly pending: (now: number) => readonly News[];
+  /** Returns the same, and leaves it out of later rounds. */
+  readonly takePending: (now: number) => readonly News[];
   /** Builds the summary for a comparison with a peer. */
   readonly compare: (now: number) => Comparison;
   /** Answers the comparison of a peer. */
@@ -177,6 +181,12 @@
     return bucketHashes(now).reduce((all, hash) => (all ^ hash) >>> 0, 0);
   }
 
+  function pendingNews(now: number): readonly News[] {
+    removeFinished(now);
+    return [...pending.values()].slice(0, GOSSIP_MESSAGE_ITEMS_MAX)
+      .map((entry) => withRemainingLife(entry, now));
+  }
+
   return {
     receive: (news, now, options = {}) =>
       news.filter((item) => store(item, now, options.comparisonOnly ?? false)),
@@ -201,6 +211,12 @@
       }
       return pushes;
     },
+    pending: pendingNews,
+    takePending: (now) => {
+      const news = pendingNews(now);
+      for (const { topic } of news) pending.delete(topic);
+      return news;
+    },
     compare: (now) => ({ settled: settledHash(now), recent: recent(now) }),
     reply: (comparison, now) => {
       const peerNews = new Map(comparison.recent.map((n) => [n.topic, n]));
--- a/packages/standin/src/key_store.ts
+++ b/packages/standin/src/key_store.ts
@@ -52,6 +52,8 @@
   readonly address: string;
   /** Sets the mode; every mode but `up` also closes all connections. */
   readonly setMode: (mode: KeyValueStoreMode) => void;
+  /** Requests received on this endpoint. */
+  readonly calls: () => number;
 }
 
 /** A store under the control of a test. */
@@ -64,6 +66,8 @@
   readonly remove: (key: string) => void;
   /** Discards the history; a watch from an earlier revision gets 410. */
   readonly compact: () => void;
+  /** Range reads that allow stale data see no later state than the present. */
+  readonly freezeStaleReads: () => void;
   /** Sets the mode of the first endpoint. */
   readonly setMode: (mode: KeyValueStoreMode) => void;
   /** Opens a further address of the same store, in mode `up`. */
@@ -88,6 +92,7 @@
 ): Promise<KeyValueStore> {
   const pageItems = options.pageItems ?? 500;
   const items = new Map<string, Entry>();
+  let frozen: ReturnType<typeof current> | undefined;
   const watchers = new Set<() => void>();
   const endpoints: HttpServer[] = [];
   let history: Entry[] = [];
@@ -96,6 +101,10 @@
   let minRevision = 1;
   let calls = 0;
 
+  function current() {
+    return { items: new Map(items), revision };
+  }
+
   function appendEvent(entry: Entry): void {
     history.push(entry);
     for (const notify of [...watchers]) notify();
@@ -117,6 +126,8 @@
   function answerRange(query: URLSearchParams, response: ServerResponse): void {
     const prefix = query.get("prefix") ?? "";
     const after = query.get("after") ?? "";
+    const allowsStale = query.get("allow_stale") === "1";
+    const { items, revision } = allowsStale && frozen || current();
     const keys = [...items.keys()].sort().filter((key) =>
       key.startsWith(prefix) && key > after
     );
@@ -206,8 +217,12 @@
 
   async function addEndpoint(port = 0): Promise<KeyValueStoreEndpoint> {
     let mode: KeyValueStoreMode = { kind: "up" };
+    let endpointCalls = 0;
     const server = await serveHttp(
-      (request, response) => handle(request, response, mode),
+      (request, response) => {
+        endpointCalls++;
+        handle(request, response, mode);
+      },
       port,
       { host: options.host ?? "127.0.0.1" },
     );
@@ -218,6 +233,7 @@
         mode = next;
         if (next.kind !== "up") server.closeConnections();
       },
+      calls: () => endpointCalls,
     };
   }
 
@@ -251,6 +267,9 @@
       minRevision = revision + 1;
       for (const notify of [...watchers]) notify();
     },
+    freezeStaleReads: () => {
+      frozen = current();
+    },
     calls: () => calls,
     close: async () => {
       await Promise.all(endpoints.map((endpoint) => endpoint.close()));
