--- a/playground/src/platform_demo.ts
+++ b/playground/src/platform_demo.ts
@@ -189,7 +189,7 @@
     newToLeaving: 0,
     cutByShutdown: 0,
   };
-  const fleet = await startPlatformFleet(MEMBERS_PER_SERVICE);
+  const fleet = await startPlatformFleet({ perService: MEMBERS_PER_SERVICE });
   const session = createPlatformSession(fleet);
   printLine(`steady load on ${fleet.members.length} nodes`);
   await session.runSteadyLoad(STAGE_MS);
--- a/playground/src/platform_fleet.ts
+++ b/playground/src/platform_fleet.ts
@@ -28,8 +28,12 @@
   import.meta.dirname,
   "../../target/coltsfootdeal-platform-node.mjs",
 );
-/** Memory limits that deploy/system.toml sets for the program. */
-const PROGRAM_FLAGS = ["--max-old-space-size=140", "--max-semi-space-size=4"];
+/** Flags that deploy/system.toml sets for the program. */
+const PROGRAM_FLAGS = [
+  "--max-old-space-size=140",
+  "--max-semi-space-size=4",
+  "--single-threaded",
+];
 const GRACE_PERIOD_S = 3;
 const SLOTS = 8;
 const SERVICE_MS = 10;
@@ -73,6 +77,22 @@
   readonly unregister: () => void;
 }
 
+/** How the processes of a fleet are started. */
+export interface PlatformFleetOptions {
+  /** Nodes and backend servers of each service. */
+  readonly perService: number;
+  /**
+   * Bundled program to run.
+   * @default the one that `npm run build:deploy` writes
+   */
+  readonly program?: string;
+  /**
+   * Folder to which each process writes a CPU profile when it is stopped; none
+   * is written by default.
+   */
+  readonly profileFolder?: string;
+}
+
 /** A running fleet of platform nodes. */
 export interface PlatformFleet {
   readonly members: readonly PlatformMember[];
@@ -111,10 +131,11 @@
 
 async function startMember(
   { index, service }: { readonly index: number; readonly service: string },
-  { ports, store, folder }: {
+  { ports, store, folder, command }: {
     readonly ports: MeshPorts;
     readonly store: KeyValueStore;
     readonly folder: string;
+    readonly command: readonly string[];
   },
 ): Promise<PlatformMember> {
   const ip = `127.${20 + (process.pid % 200)}.9.${index + 1}`;
@@ -145,7 +166,7 @@
 
   async function start(): Promise<number> {
     const startedAt = performance.now();
-    child = spawn(process.execPath, [...PROGRAM_FLAGS, PROGRAM], {
+    child = spawn(process.execPath, command, {
       env: { COLTSFOOTDEAL_SETTINGS: path },
       stdio: ["ignore", "ignore", "inherit"],
     });
@@ -180,10 +201,15 @@
   };
 }
 
-/** Starts `perService` nodes and backend servers for each service. */
+/** Starts nodes and backend servers for each service. */
 export async function startPlatformFleet(
-  perService: number,
+  options: PlatformFleetOptions,
 ): Promise<PlatformFleet> {
+  const { perService, program = PROGRAM, profileFolder } = options;
+  const profileFlags = profileFolder === undefined
+    ? []
+    : ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`];
+  const command = [...PROGRAM_FLAGS, ...profileFlags, program];
   const store = await startKeyValueStore();
   const folder = await mkdtemp(join(tmpdir(), "coltsfootdeal-demo-"));
   const ports = await findMeshPorts();
@@ -196,7 +222,12 @@
   publish(1, DEMO_ROUTES);
   const members = await Promise.all(
     services.map((service, index) =>
-      startMember({ index, service }, { ports, store, folder })
+      startMember({ index, service }, {
+        ports,
+        store,
+        folder,
+        command,
+      })
     ),
   );
 
@@ -204,7 +235,8 @@
     const running = child();
     if (running.exitCode === null && running.signalCode === null) {
       const exited = once(running, "exit");
-      running.kill("SIGKILL");
+      // Only a process that ends by itself writes its profile.
+      running.kill(profileFolder === undefined ? "SIGKILL" : "SIGTERM");
       await exited;
     }
     await backend.close();
