fix(node): a request whose client left while the process was held up is not run

A process whose event loop is held up for a second (cold code at the start of traffic) reads a request long after it was sent, and sends it on before it reads that its client has disconnected. A gate that is held up reads a call and its cancellation in one go, and began the call first. Change: the handler of callers' requests waits until all sockets were read once more before it sends a request on; a link server looks for cancellations in what it has read before it begins calls, and refuses those as not run.

--- a/packages/node/src/edge/plain_listener.ts
+++ b/packages/node/src/edge/plain_listener.ts
@@ -10,7 +10,7 @@
 import { drawWeighted, type Random, refused } from "@coltsfootdeal/policy";
 import { type Answer, createEmptyAnswer } from "../answer.ts";
 import { readBody } from "../body.ts";
-import { createDisconnectSignal } from "../gone_signal.ts";
+import { createDisconnectSignal, waitForNextRead } from "../gone_signal.ts";
 import type { FinishedCall } from "../ingress/data_api.ts";
 import type { Ingress } from "../ingress/ingress.ts";
 import type {
@@ -160,6 +160,8 @@
       return { status: body.error === "too_large" ? 413 : 400, message };
     }
     if (config.refusesNewCalls()) return createEmptyAnswer(refused("leaving"));
+    await waitForNextRead();
+    if (options.signal.aborted) return createEmptyAnswer(refused("cancelled"));
     const elapsedMs = clock.now() - options.startedAt;
     const { method, path, headers, deadlineMs: requestedMs } = request;
     return await ingress.handle({
--- a/packages/node/src/gone_signal.ts
+++ b/packages/node/src/gone_signal.ts
@@ -13,3 +13,15 @@
   });
   return abort.signal;
 }
+
+/**
+ * Resolves after all sockets were read once more. A process that was held up
+ * reads a request long after it was sent; only the read after it shows that its
+ * client has disconnected meanwhile.
+ */
+export function waitForNextRead(): Promise<void> {
+  // The first callback runs before the event loop polls, the second one after.
+  return new Promise((resolve) => {
+    setImmediate(() => setImmediate(resolve));
+  });
+}
--- a/packages/node/src/link/link_server.ts
+++ b/packages/node/src/link/link_server.ts
@@ -102,6 +102,24 @@
       sendReply(message.id, reply);
     }
 
+    /**
+     * Handles the messages of one read. If the peer has cancelled a call in the
+     * same read, this process was held up, and the call is not begun.
+     */
+    function handleAll(messages: readonly LinkMessage[]): void {
+      const cancelled = new Set<number>();
+      for (const message of messages) {
+        if (message.kind === "cancel") cancelled.add(message.id);
+      }
+      for (const message of messages) {
+        if (message.kind === "run" && cancelled.has(message.id)) {
+          sendReply(message.id, createEmptyReply(refused("cancelled")));
+        } else {
+          handle(message);
+        }
+      }
+    }
+
     function handle(message: LinkMessage): void {
       switch (message.kind) {
         case "run":
@@ -135,7 +153,7 @@
         socket.destroy();
         return;
       }
-      for (const message of messages.value) handle(message);
+      handleAll(messages.value);
     });
     // Errors are followed by `close`, whose handler aborts the runs.
     socket.on("error", () => {});
