fix(node): a disconnect cancels pipelined requests as well

Cause: a response has no close event before its turn on the connection, so of several requests that a client had sent one after the other only the first was cancelled when it left; backend servers went on working for nobody. Change: the connection is watched, with one listener for all its requests.

--- a/packages/node/src/edge/plain_listener.ts
+++ b/packages/node/src/edge/plain_listener.ts
@@ -187,7 +187,7 @@
 
   return async (incoming, outgoing) => {
     const startedAt = clock.now();
-    const signal = createDisconnectSignal(outgoing);
+    const signal = createDisconnectSignal(incoming, outgoing);
     const decoded = protocol.decode(incoming);
     if (decoded.isErr()) {
       config.onFault("", decoded.error);
--- a/packages/node/src/gone_signal.ts
+++ b/packages/node/src/gone_signal.ts
@@ -1,16 +1,39 @@
 /** Detects that the connection of a request closed too early. */
 
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/** Requests of each connection whose responses are not fully written. */
+const unanswered = new WeakMap<Socket, Set<AbortController>>();
+
+/**
+ * Returns the unanswered requests of a connection, which are aborted when it
+ * closes. The response of a pipelined request has no `close` event before its
+ * turn, so the connection itself is watched.
+ */
+function unansweredOn(socket: Socket): Set<AbortController> {
+  const known = unanswered.get(socket);
+  if (known !== undefined) return known;
+  const requests = new Set<AbortController>();
+  unanswered.set(socket, requests);
+  socket.once("close", () => {
+    for (const abort of requests) abort.abort();
+  });
+  return requests;
+}
 
 /**
  * Creates a signal that aborts if the connection closes before the response is
  * fully written, whichever side closed it.
  */
-export function createDisconnectSignal(outgoing: ServerResponse): AbortSignal {
+export function createDisconnectSignal(
+  incoming: IncomingMessage,
+  outgoing: ServerResponse,
+): AbortSignal {
   const abort = new AbortController();
-  outgoing.once("close", () => {
-    if (!outgoing.writableFinished) abort.abort();
-  });
+  const requests = unansweredOn(incoming.socket);
+  requests.add(abort);
+  outgoing.once("finish", () => requests.delete(abort));
   return abort.signal;
 }
 
--- a/packages/node/src/ingress/data_api.ts
+++ b/packages/node/src/ingress/data_api.ts
@@ -152,7 +152,10 @@
       service: context.req.param("service") ?? "",
       kind: context.req.param("kind") ?? "",
     };
-    const signal = createDisconnectSignal(context.env.outgoing);
+    const signal = createDisconnectSignal(
+      context.env.incoming,
+      context.env.outgoing,
+    );
     const request = resolveRequest(incoming.headers, target, { catalog });
     if (request.isErr()) {
       const missing = request.error.status === 404;
