fix(node): a refusal written once more answers no other request

Written once more on a kept connection, it was read as the answer to the next request there, and its client was told 503, "not run", while it ran.

--- a/packages/node/src/gate/backend_server.ts
+++ b/packages/node/src/gate/backend_server.ts
@@ -62,6 +62,16 @@
   readonly isLeaving: (service: Service) => Promise<boolean>;
 }
 
+/** Whether a response marks the call as shed, as the service's entry says. */
+function isShed(
+  status: number,
+  headers: HeaderFields,
+  { shedStatus, shedHeader }: Service,
+): boolean {
+  return shedHeader !== undefined && shedHeader in headers &&
+    status === shedStatus;
+}
+
 /** Creates a client of the backend server at `address`. */
 export function createBackendServer(
   address: Address,
@@ -84,15 +94,14 @@
       },
       body: payload.body,
       signal: call.signal,
+      // A refusal that is written once more must not be read as the answer to a
+      // later call.
+      endsConnection: (status, headers) => isShed(status, headers, service),
     });
     switch (result.kind) {
       case "response": {
         const { status, body } = result;
-        const hasShedHeader = service.shedHeader !== undefined &&
-          service.shedHeader in result.headers;
-        if (hasShedHeader && status === service.shedStatus) {
-          return { kind: "shed" };
-        }
+        if (isShed(status, result.headers, service)) return { kind: "shed" };
         const headers = pickContentType(result.headers);
         return { kind: "response", status, headers, body };
       }
--- a/packages/node/src/http_client.ts
+++ b/packages/node/src/http_client.ts
@@ -27,6 +27,11 @@
    * request. Every response is accepted by default.
    */
   readonly isMatchingResponse?: (headers: HeaderFields) => boolean;
+  /**
+   * Returns true for a response after which the connection must not be used
+   * again. Its body is not read.
+   */
+  readonly endsConnection?: (status: number, headers: HeaderFields) => boolean;
 }
 
 /** Result of a request. */
@@ -127,7 +132,7 @@
   });
 
   function send(request: HttpRequest): Promise<HttpResult> {
-    const { signal, isMatchingResponse } = request;
+    const { signal, isMatchingResponse, endsConnection } = request;
     if (signal?.aborted) return Promise.resolve({ kind: "not_sent" });
     return new Promise((resolve) => {
       let status = 0;
@@ -165,6 +170,10 @@
             // Closes the connection: later responses on it belong to other
             // requests too.
             controller?.abort(new Error("response to another request"));
+          } else if (endsConnection?.(status, headers) === true) {
+            const body = Buffer.alloc(0);
+            settle({ kind: "response", status, headers, body });
+            controller?.abort(new Error("connection is not used again"));
           }
         },
         onResponseData: (_controller, chunk) => {
--- a/packages/standin/src/mesh_backend.ts
+++ b/packages/standin/src/mesh_backend.ts
@@ -11,6 +11,7 @@
   request,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { serveHttp } from "./http_server.ts";
 
 /** A fault that the backend server shows when it answers a run. */
@@ -29,6 +30,11 @@
   | "extra"
   /** Answers without a signature. */
   | "unsigned"
+  /**
+   * Refuses the request without running it, and writes the refusal once more
+   * when the next request comes on the connection, which it runs.
+   */
+  | "refusal_repeated"
   /** Never answers. */
   | "hang"
   /** Closes all connections, as a process that crashes and restarts. */
@@ -117,6 +123,7 @@
   const runs: MeshRun[] = [];
   const slotWaiters: (() => void)[] = [];
   const faults: MeshFault[] = [];
+  const repeatedRefusals = new WeakSet<Socket>();
   const counts = { refused: 0, cancelled: 0, running: 0, peak: 0, calls: 0 };
   let { id, serviceMs } = options;
 
@@ -215,6 +222,7 @@
       case "crash":
         return void server.closeConnections();
       case "extra":
+      case "refusal_repeated":
       case undefined:
     }
     response.writeHead(200, { ...headers, "content-length": body.length });
@@ -244,6 +252,17 @@
       counts.refused++;
       return send(response, 421, { "x-instance-id": id });
     }
+    if (repeatedRefusals.delete(incoming.socket)) {
+      incoming.socket.write(
+        "HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\n" +
+          "content-length: 0\r\n\r\n",
+      );
+    }
+    if (faults[0] === "refusal_repeated") {
+      faults.shift();
+      repeatedRefusals.add(incoming.socket);
+      return shed(response);
+    }
     const isFull = counts.running >= options.slots &&
       slotWaiters.length >= (options.queueCapacity ?? 16);
     if (isFull) return shed(response);
