fix(node): answers without end are cut off at a size

Change: a response body ends at 16 MB, and one client holds 64 MB of incomplete ones; above, the answer is truncated and its connection closed. Ruled out: connections left open after an abort. The library opens a new one for the aborted request and keeps it idle; the endless one is closed.

--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -51,6 +51,10 @@
  * `keep-alive` header.
  */
 export const SERVER_KEEP_ALIVE_MS = 5_000;
+/** Largest body of a response that the HTTP client reads. */
+export const RESPONSE_BODY_MAX_BYTES = 16 * 1024 * 1024;
+/** Bytes of incomplete response bodies that one HTTP client holds in total. */
+export const RESPONSE_BUFFER_MAX_BYTES = 64 * 1024 * 1024;
 /** Idle time after which the HTTP client closes a connection. */
 export const CLIENT_KEEP_ALIVE_MS = 30_000;
 /** Longest time that the platform holds a watch request open. */
--- a/packages/node/src/http_client.ts
+++ b/packages/node/src/http_client.ts
@@ -9,7 +9,12 @@
 // not used here: 0.8 MB to parse at each start.
 import buildConnector from "undici/lib/core/connect.js";
 import Agent from "undici/lib/dispatcher/agent.js";
-import { CLIENT_KEEP_ALIVE_MS, CONNECT_TIMEOUT_MS } from "./constants.ts";
+import {
+  CLIENT_KEEP_ALIVE_MS,
+  CONNECT_TIMEOUT_MS,
+  RESPONSE_BODY_MAX_BYTES,
+  RESPONSE_BUFFER_MAX_BYTES,
+} from "./constants.ts";
 import type { HeaderFields } from "./payload.ts";
 
 /** An HTTP request with its whole body. */
@@ -46,7 +51,7 @@
   | { readonly kind: "not_sent" }
   /** The connection was lost before the response began. */
   | { readonly kind: "lost" }
-  /** The response is incomplete, or its end can't be detected. */
+  /** The response is incomplete or too long, or its end can't be detected. */
   | { readonly kind: "truncated" }
   /** The signal was aborted. */
   | { readonly kind: "aborted" };
@@ -123,6 +128,8 @@
 /** Creates a client with no connections. */
 export function createHttpClient(): HttpClient {
   const connectionEnd: ConnectionEnd = { current: false };
+  /** Size of the incomplete bodies of all responses, in bytes. */
+  let bufferedBytes = 0;
   const agent = new Agent({
     pipelining: 1,
     connect: createConnector(connectionEnd),
@@ -138,6 +145,8 @@
       let status = 0;
       let headers: Record<string, string> | undefined;
       let chunks: Buffer[] = [];
+      let bodyBytes = 0;
+      let isSettled = false;
       let controller: Dispatcher.DispatchController | undefined;
 
       function abort(): void {
@@ -147,6 +156,10 @@
 
       function settle(result: HttpResult): void {
         signal?.removeEventListener("abort", abort);
+        chunks = [];
+        bufferedBytes -= bodyBytes;
+        bodyBytes = 0;
+        isSettled = true;
         resolve(result);
       }
 
@@ -177,7 +190,17 @@
           }
         },
         onResponseData: (_controller, chunk) => {
+          if (isSettled) return;
           chunks.push(chunk);
+          bodyBytes += chunk.length;
+          bufferedBytes += chunk.length;
+          if (
+            bodyBytes > RESPONSE_BODY_MAX_BYTES ||
+            bufferedBytes > RESPONSE_BUFFER_MAX_BYTES
+          ) {
+            settle({ kind: "truncated" });
+            controller?.abort(new Error("response body is too long"));
+          }
         },
         onResponseEnd: () => {
           if (headers === undefined) return settle({ kind: "lost" });
@@ -190,7 +213,6 @@
           settle({ kind: "response", status, headers, body });
         },
         onResponseError: (_controller, error) => {
-          chunks = [];
           if (signal?.aborted) return settle({ kind: "aborted" });
           if (headers !== undefined) return settle({ kind: "truncated" });
           const notSent = CONNECT_ERROR_CODES.has(errorCode(error));
