fix(policy): a throttled kind is admitted in its share

Cause: the credit of a throttled kind was cut at 1, so every share from 0.5 to 0.99 admitted one offer in two, and other shares one in ceil(1 / share): a kind of which 6 % of the runs failed lost half of its requests. Change: credit is not cut; it stays below 1 plus the share by itself. The load that this answers: chains whose deepest service refuses some calls.

--- a/packages/policy/src/throttle.ts
+++ b/packages/policy/src/throttle.ts
@@ -27,12 +27,9 @@
 }
 
 interface KindState {
-  /**
-   * Credit that each offer of work adds. At 1 all work is admitted; below 1 one
-   * offer in ceil(1 / share), because credit above 1 is dropped.
-   */
+  /** Share of the offered work that is admitted. */
   share: number;
-  /** Accumulated share, at most 1; work is admitted when it reaches 1. */
+  /** Accumulated share; work is admitted when it reaches 1, which it costs. */
   credit: number;
   /** Runs that ended in this period. */
   finished: number;
@@ -85,7 +82,7 @@
       if (state === undefined) return true;
       adjust(state, now);
       if (state.share >= 1) return true;
-      state.credit = Math.min(1, state.credit + state.share);
+      state.credit += state.share;
       if (state.credit < 1) return false;
       state.credit -= 1;
       return true;
