fix(node): a gate knows a leaving backend server before its first bundle

Cause (operators' report: a server that had left was in use again after a restart): a node that starts reads the list before the configuration. That its backend server is leaving was applied to an admission that did not exist yet, and lost. A call whose caller had left before it was submitted was run, too: the signal was aborted already, so no event followed. Change: the admission begins as leaving; an aborted call is refused as not run.

--- a/packages/node/src/gate/gate.ts
+++ b/packages/node/src/gate/gate.ts
@@ -257,7 +257,10 @@
         minLimitShare: minShare,
         throttleInterval: intervalMode,
       });
-      if (leaving) admission.leave();
+      // The list may have named the backend server before there was a bundle.
+      const isBackendLeaving = backend !== undefined &&
+        backend.state !== "live";
+      if (leaving || isBackendLeaving) admission.leave();
     } else {
       admission.configure({ slots, floors });
     }
@@ -463,6 +466,9 @@
   }
 
   function submit(call: GateCall, signal: AbortSignal): Promise<GateReply> {
+    if (signal.aborted) {
+      return Promise.resolve(createEmptyReply(refused("cancelled")));
+    }
     return new Promise((resolve) => {
       const job: Job = {
         call,
