fix(node): facts of live instances are compared, not pushed

Cause: since the reading by elected nodes, the fact that an instance is live was pushed again, by each node that heard it to nine others. Change: live facts are only exchanged in comparisons, as they were on the platform before; facts of leaving instances are pushed.

--- a/packages/node/src/agent/__tests__/agent_test.ts
+++ b/packages/node/src/agent/__tests__/agent_test.ts
@@ -128,6 +128,17 @@
   };
 }
 
+test("facts of live instances are compared, not pushed", () => {
+  const { agent, pushedTopicsAfter } = startAgent();
+  const facts = LISTED_INSTANCES.map(({ id }) =>
+    createFactNews(createFact(id, false))
+  );
+  agent.controlHandler.compare({ settled: 0, recent: facts });
+  expect(pushedTopicsAfter(5)).toEqual([]);
+  const { recent } = agent.controlHandler.compare({ settled: 0, recent: [] });
+  expect(recent.map(({ topic }) => topic)).toContain("fact/i-b");
+});
+
 test("pushes at once that an instance is leaving", () => {
   const { agent, pushedTopicsAfter } = startAgent();
   agent.controlHandler.push([createFactNews(createFact("i-b", true))]);
--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -38,6 +38,7 @@
   FACT_TOPIC_PREFIX,
   INSTANCE_TOPIC_PREFIX,
   parseNewsValue,
+  requiresPush,
   shortDigest,
 } from "./news.ts";
 import { createPeers } from "./peers.ts";
@@ -214,6 +215,18 @@
     if (!feed.active()) compareWithRandomPeer();
   }
 
+  /** Stores news; returns the items that were new or newer. */
+  function storeNews(
+    news: readonly News[],
+    options: ReceiveOptions = {},
+  ): readonly News[] {
+    const now = clock.now();
+    return news.flatMap((item) => {
+      const comparisonOnly = options.comparisonOnly || !requiresPush(item);
+      return gossip.receive([item], now, { comparisonOnly });
+    });
+  }
+
   /**
    * Stores news and passes on what changed to the node's other parts; returns
    * the items that were new or newer.
@@ -222,7 +235,7 @@
     news: readonly News[],
     options: ReceiveOptions = {},
   ): readonly News[] {
-    const fresh = gossip.receive(news, clock.now(), options);
+    const fresh = storeNews(news, options);
     let changed = false;
     for (const item of fresh) {
       if (item.topic.startsWith(INSTANCE_TOPIC_PREFIX)) {
@@ -426,7 +439,7 @@
     },
     recordInstanceFact: (fact) => {
       if (applyFact(fact)) {
-        gossip.receive([createFactNews(fact)], clock.now());
+        storeNews([createFactNews(fact)]);
         refreshRoutes();
       }
     },
--- a/packages/node/src/agent/news.ts
+++ b/packages/node/src/agent/news.ts
@@ -64,3 +64,13 @@
     return undefined;
   }
 }
+
+/**
+ * Whether news is pushed to peers. That an instance is live is only exchanged in
+ * comparisons: each node says so when it starts, and a fleet that starts at once
+ * would push as much as it has nodes, from each node to several others.
+ */
+export function requiresPush(news: News): boolean {
+  if (!news.topic.startsWith(FACT_TOPIC_PREFIX)) return true;
+  return parseNewsValue<InstanceFact>(news)?.leaving === true;
+}
