--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -173,7 +173,7 @@
 /**
  * Interval at which a node checks whether it has to watch the platform for
  * changes. Usually only readers do, the nodes of a data centre that are
- * selected for it; the others receive the changes by gossip.
+ * selected for it; the others receive the changes from them or by gossip.
  */
 export const READER_CHECK_PERIOD_MS = 1_000;
 /** Interval at which a node probes the readers that it would replace. */
