feat(node): log and count what a backend server states of itself

Change: the adapter decodes both headers when an answer's head arrives; the gate logs each change (gate.backend_notice), once a second the calls that it sent while a rate is stated (gate.rate), and shows the rate as a gauge. Nothing acts on it yet.

--- a/packages/node/src/admin/metrics.ts
+++ b/packages/node/src/admin/metrics.ts
@@ -20,6 +20,8 @@
 /** Current values of the gauges, read at each scrape. */
 export interface GaugeSource {
   readonly gateLoad: () => GateLoad;
+  /** Requests per second that the backend server states; 0 for none. */
+  readonly backendRate: () => number;
   /** Version of the fleet bundle in force; 0 for none. */
   readonly bundleVersion: () => number;
   readonly tickets: () => number;
@@ -97,6 +99,11 @@
     "Lowest level that the gate accepts.",
     () => source.gateLoad().acceptLevel,
   );
+  addGauge(
+    "backend_rate_limit",
+    "Requests per second that the backend server states; 0 for none.",
+    source.backendRate,
+  );
   addGauge(
     "bundle_version",
     "Version of the fleet bundle in force; 0 for none.",
--- a/packages/node/src/gate/backend_server.ts
+++ b/packages/node/src/gate/backend_server.ts
@@ -6,6 +6,7 @@
 
 import type { Buffer } from "node:buffer";
 import type { Service } from "@coltsfootdeal/bundle";
+import type { BackendNotice } from "@coltsfootdeal/policy";
 import { HEADER } from "../headers.ts";
 import type { HttpClient } from "../http_client.ts";
 import {
@@ -34,6 +35,11 @@
   readonly remainingMs: number;
   readonly payload: Payload;
   readonly signal: AbortSignal;
+  /**
+   * Called with what the answer states about the backend server, before its
+   * body has arrived. The native protocol states nothing.
+   */
+  readonly onNotice: (notice: BackendNotice) => void;
 }
 
 /** Result of a run. */
--- a/packages/node/src/gate/gate.ts
+++ b/packages/node/src/gate/gate.ts
@@ -12,6 +12,7 @@
 } from "@coltsfootdeal/kernel";
 import {
   type Admission,
+  type BackendNotice,
   createAdmission,
   type Death,
   type GateAction,
@@ -36,6 +37,7 @@
 import type { BackendServer, RunResult } from "./backend_server.ts";
 import { createGateLog } from "./gate_log.ts";
 import { createDeathDetector } from "./losses.ts";
+import { createNoticeLog } from "./notice_log.ts";
 
 /** A call to the backend server, from this node's ingress or another node's. */
 export interface GateCall {
@@ -124,6 +126,8 @@
   /** Applies the backend server's state in the instance list. */
   readonly setBackendState: (backend: BackendState) => void;
   readonly load: () => GateLoad;
+  /** What the backend server stated last. */
+  readonly notice: () => BackendNotice;
   /** Refuses new calls from now on, permanently; queued calls still run. */
   readonly leave: () => void;
   /** Whether no call is queued or running. */
@@ -146,6 +150,7 @@
   | { readonly kind: "abandoned"; readonly job: Job }
   | { readonly kind: "configure"; readonly catalog: Catalog }
   | { readonly kind: "backend"; readonly backend: BackendState }
+  | { readonly kind: "notice"; readonly notice: BackendNotice }
   | { readonly kind: "tick" }
   | { readonly kind: "leave" };
 
@@ -177,6 +182,9 @@
   return new Map(kindsWithFloor.map((kind) => [kind.name, kind.floor]));
 }
 
+/** The notice of a backend server that states nothing. */
+const NO_NOTICE: BackendNotice = { requestsPerS: undefined, leaving: false };
+
 /** Creates a gate; it refuses all calls until it is configured. */
 export function createGate(config: GateConfig): Gate {
   const { clock, retryLedger, runRegistry } = config;
@@ -185,6 +193,7 @@
   let service: Service | undefined;
   let catalog: Catalog | undefined;
   let backend: BackendState | undefined;
+  let notice = NO_NOTICE;
   let leaving = false;
   let deaths = 0;
   let lastDeath: Death | undefined;
@@ -195,6 +204,7 @@
     onDeath: (runIds) => recordDeath(runIds),
   });
   const log = createGateLog(config.onDecision);
+  const noticeLog = createNoticeLog(config.onDecision);
   const task = createSerialTask<GateMessage>((message) => {
     handle(message);
     scheduleTick(clock.now());
@@ -317,6 +327,7 @@
     const { level, weight, deadlineAt } = call;
     runRegistry.start(call.id, { level, weight, deadlineAt });
     deathDetector.runStarted(call.id);
+    noticeLog.sent(now);
     const completion = config.backend.run({
       runId: call.id,
       instance: backend?.id,
@@ -326,10 +337,20 @@
       remainingMs: call.deadlineAt - now,
       payload: call.payload,
       signal: job.abort.signal,
+      onNotice: (stated) => {
+        if (!isSameNotice(stated)) {
+          task.post({ kind: "notice", notice: stated });
+        }
+      },
     }, currentService);
     completion.then((result) => task.post({ kind: "ended", job, result }));
   }
 
+  function isSameNotice(stated: BackendNotice): boolean {
+    const { requestsPerS, leaving } = notice;
+    return stated.requestsPerS === requestsPerS && stated.leaving === leaving;
+  }
+
   function performActions(actions: readonly GateAction[]): void {
     const now = clock.now();
     for (const action of actions) {
@@ -441,6 +462,9 @@
         return configure(message.catalog);
       case "backend":
         return applyBackendState(message.backend);
+      case "notice":
+        notice = message.notice;
+        return noticeLog.changed(backend?.id, notice);
       case "tick":
         return performActions(admission?.tick(now) ?? []);
       case "leave":
@@ -504,6 +528,7 @@
       // leaving.
       return isUnlisted() ? { ...load, leaving } : load;
     },
+    notice: () => notice,
     leave: () => task.post({ kind: "leave" }),
     isIdle: () => jobs.size === 0,
     close: () => {
--- a/packages/node/src/http_client.ts
+++ b/packages/node/src/http_client.ts
@@ -32,6 +32,11 @@
    * request. Every response is accepted by default.
    */
   readonly isMatchingResponse?: (headers: HeaderFields) => boolean;
+  /**
+   * Called with the headers of a matching response as soon as they have
+   * arrived.
+   */
+  readonly onResponseHead?: (status: number, headers: HeaderFields) => void;
   /**
    * Returns true for a response after which the connection must not be used
    * again. Its body is not read.
@@ -183,7 +188,10 @@
             // Closes the connection: later responses on it belong to other
             // requests too.
             controller?.abort(new Error("response to another request"));
-          } else if (endsConnection?.(status, headers) === true) {
+            return;
+          }
+          request.onResponseHead?.(status, headers);
+          if (endsConnection?.(status, headers) === true) {
             const body = Buffer.alloc(0);
             settle({ kind: "response", status, headers, body });
             controller?.abort(new Error("connection is not used again"));
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -212,6 +212,7 @@
   });
   const metrics = createMetrics({
     gateLoad: gate.load,
+    backendRate: () => gate.notice().requestsPerS ?? 0,
     bundleVersion: () => store.inForce(FLEET_SCOPE)?.version ?? 0,
     tickets: ticketed.size,
     instances: () => agent.status().instances,
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -13,6 +13,7 @@
 export * from "./limit.ts";
 export * from "./membership.ts";
 export * from "./nesting.ts";
+export * from "./notice.ts";
 export * from "./outcome.ts";
 export * from "./pause.ts";
 export * from "./random.ts";
