fix(gate): the rate that a backend server names holds over the fleet

Cause: the gate knew only slots. What a backend server says of itself in its answers was passed on and used by nobody, and nothing of it would have outlived the process beside the backend server. Change: a token bucket in the gate's admission, the only sender to its backend server; refused work is told when to come back; the gate reports as many slots as the rate fills, so that routers send elsewhere. Nodes remember what gates report and send it along with calls, so a gate that started again knows the rate from the first call of any node that does; its own answers go before that.

--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -8,9 +8,11 @@
 import type { Clock } from "@coltsfootdeal/kernel";
 import {
   ANTI_ENTROPY_PERIOD_MS,
+  type BackendReport,
   BOOTSTRAP_JITTER_MS,
   createGossipState,
   createMembership,
+  createNoticeMemory,
   type Death,
   drawIndex,
   GOSSIP_PUSH_PERIOD_MS,
@@ -88,6 +90,10 @@
   readonly start: () => void;
   /** Records the state that an instance reports in a reply. */
   readonly recordInstanceFact: (fact: InstanceFact) => void;
+  /** Records what a gate reports of its backend server. */
+  readonly recordBackendReport: (report: BackendReport) => void;
+  /** What this node remembers of a backend server, by instance id. */
+  readonly rememberedOf: (instance: string) => BackendReport | undefined;
   /**
    * Handles the `bundleAnnouncement` of another node, which its calls carry.
    * Malformed announcements are ignored.
@@ -129,6 +135,7 @@
   const ownControlAddress = formatAddress(settings.control);
   const gossip = createGossipState();
   const membership = createMembership();
+  const notices = createNoticeMemory();
   const seeds = settings.seeds.map(formatAddress).filter((a) =>
     a !== ownControlAddress
   );
@@ -443,6 +450,10 @@
         refreshRoutes();
       }
     },
+    recordBackendReport: (report) => {
+      notices.record(report);
+    },
+    rememberedOf: notices.find,
     receiveBundleAnnouncement: (text) => {
       const [bundle = "", source] = text.split("@");
       const [versionText, digest] = bundle.split(":");
--- a/packages/node/src/gate/__tests__/gate_test.ts
+++ b/packages/node/src/gate/__tests__/gate_test.ts
@@ -3,7 +3,12 @@
 import { createRetryLedger } from "@coltsfootdeal/policy";
 import { afterEach, expect, test } from "vitest";
 import { createRunRegistry } from "../../chains.ts";
-import { createGate, type Gate, type GateCall } from "../gate.ts";
+import {
+  type BackendState,
+  createGate,
+  type Gate,
+  type GateCall,
+} from "../gate.ts";
 
 const BUNDLE: Bundle = {
   scope: FLEET_SCOPE,
@@ -81,21 +86,29 @@
     deadlineAt: performance.now() + 1_000,
     retryAllowance: 0,
     exclusive: false,
+    remembered: undefined,
     payload: { method: "GET", path: "/", headers: {}, body: Buffer.alloc(0) },
   };
 }
 
+function backendState(
+  id: string,
+  state: BackendState["state"],
+): BackendState {
+  return { id, state, slots: 4, startedAt: 1_700_000_000_000 };
+}
+
 async function submit(id: string, signal = new AbortController().signal) {
   return (await gate.submit(createCall(id), signal)).answer.outcome;
 }
 
 test("a backend server that was listed as leaving before the first bundle gets no calls", async () => {
   startGate();
-  gate.setBackendState({ id: "i-1", state: "leaving", slots: 4 });
+  gate.setBackendState(backendState("i-1", "leaving"));
   gate.configure(createCatalog([BUNDLE]));
   expect(await submit("a")).toMatchObject({ kind: "refused" });
   expect(runs).toBe(0);
-  gate.setBackendState({ id: "i-2", state: "live", slots: 4 });
+  gate.setBackendState(backendState("i-2", "live"));
   expect(await submit("b")).toMatchObject({ kind: "answered" });
   expect(runs).toBe(1);
 });
@@ -103,7 +116,7 @@
 test("a call whose caller has left already is refused as not run", async () => {
   startGate();
   gate.configure(createCatalog([BUNDLE]));
-  gate.setBackendState({ id: "i-1", state: "live", slots: 4 });
+  gate.setBackendState(backendState("i-1", "live"));
   expect(await submit("a", AbortSignal.abort()))
     .toMatchObject({ kind: "refused", reason: "cancelled" });
   expect(runs).toBe(0);
--- a/packages/node/src/gate/gate.ts
+++ b/packages/node/src/gate/gate.ts
@@ -12,11 +12,17 @@
 } from "@coltsfootdeal/kernel";
 import {
   type Admission,
+  type BackendIncarnation,
   type BackendNotice,
+  type BackendReport,
   createAdmission,
+  createNoticeTracker,
   type Death,
+  EMPTY_NOTICE,
   type GateAction,
   type GateLoad,
+  isSameIncarnation,
+  isSameNotice,
   type Outcome,
   refused,
   type RetryLedger,
@@ -62,6 +68,8 @@
   readonly retryAllowance: number;
   /** Whether the run is exclusive: no other call runs at the same time. */
   readonly exclusive: boolean;
+  /** What the sender remembers of the backend server, if it stated something. */
+  readonly remembered: BackendReport | undefined;
   readonly payload: Payload;
 }
 
@@ -126,8 +134,8 @@
   /** Applies the backend server's state in the instance list. */
   readonly setBackendState: (backend: BackendState) => void;
   readonly load: () => GateLoad;
-  /** What the backend server stated last. */
-  readonly notice: () => BackendNotice;
+  /** What the backend server states; undefined while nothing is known. */
+  readonly report: () => BackendReport | undefined;
   /** Refuses new calls from now on, permanently; queued calls still run. */
   readonly leave: () => void;
   /** Whether no call is queued or running. */
@@ -136,8 +144,7 @@
 }
 
 /** The backend server's state in the instance list. */
-export interface BackendState {
-  readonly id: string;
+export interface BackendState extends BackendIncarnation {
   readonly state: "live" | "leaving" | "gone";
   /** Concurrent calls it can run; undefined to use the bundle's number. */
   readonly slots: number | undefined;
@@ -150,7 +157,12 @@
   | { readonly kind: "abandoned"; readonly job: Job }
   | { readonly kind: "configure"; readonly catalog: Catalog }
   | { readonly kind: "backend"; readonly backend: BackendState }
-  | { readonly kind: "notice"; readonly notice: BackendNotice }
+  | {
+    readonly kind: "notice";
+    /** The backend server that the run was sent to. */
+    readonly backend: BackendIncarnation;
+    readonly notice: BackendNotice;
+  }
   | { readonly kind: "tick" }
   | { readonly kind: "leave" };
 
@@ -182,9 +194,6 @@
   return new Map(kindsWithFloor.map((kind) => [kind.name, kind.floor]));
 }
 
-/** The notice of a backend server that states nothing. */
-const NO_NOTICE: BackendNotice = { requestsPerS: undefined, leaving: false };
-
 /** Creates a gate; it refuses all calls until it is configured. */
 export function createGate(config: GateConfig): Gate {
   const { clock, retryLedger, runRegistry } = config;
@@ -193,7 +202,7 @@
   let service: Service | undefined;
   let catalog: Catalog | undefined;
   let backend: BackendState | undefined;
-  let notice = NO_NOTICE;
+  const notices = createNoticeTracker();
   let leaving = false;
   let deaths = 0;
   let lastDeath: Death | undefined;
@@ -279,10 +288,14 @@
   function applyBackendState(next: BackendState): void {
     // Ignores the removal of an earlier backend server at the same address.
     if (next.state === "gone" && backend?.id !== next.id) return;
-    const replaced = backend !== undefined && backend.id !== next.id;
+    const replaced = backend !== undefined && !isSameIncarnation(backend, next);
     backend = next;
     if (catalog !== undefined) configure(catalog);
-    if (replaced) admission?.resetLimit();
+    if (replaced) {
+      notices.reset();
+      admission?.setRate(undefined, clock.now());
+      admission?.resetLimit();
+    }
     if (next.state === "live") {
       if (!leaving) admission?.resume();
       return;
@@ -291,6 +304,35 @@
     performActions(admission?.refuseQueued(clock.now()) ?? []);
   }
 
+  function applyNotice({ requestsPerS }: BackendNotice): void {
+    const now = clock.now();
+    admission?.setRate(requestsPerS, now);
+    performActions(admission?.tick(now) ?? []);
+  }
+
+  function observeNotice(
+    sentTo: BackendIncarnation,
+    notice: BackendNotice,
+  ): void {
+    // The backend server may have been replaced since.
+    if (backend === undefined || !isSameIncarnation(sentTo, backend)) return;
+    const before = notices.current() ?? EMPTY_NOTICE;
+    const next = notices.observe(notice);
+    if (!isSameNotice(before, next)) noticeLog.changed(backend.id, next);
+    applyNotice(next);
+  }
+
+  /** Applies what the sender of a call remembers, after a restart of this node. */
+  function recallNotice(remembered: BackendReport): void {
+    if (backend === undefined) return;
+    if (!isSameIncarnation(remembered, backend)) return;
+    const before = notices.current() ?? EMPTY_NOTICE;
+    const next = notices.recall(remembered);
+    if (isSameNotice(before, next)) return;
+    noticeLog.changed(backend.id, next);
+    applyNotice(next);
+  }
+
   /** Whether no backend server is listed although one has to be. */
   function isUnlisted(): boolean {
     return config.requiresListedBackend &&
@@ -321,6 +363,7 @@
     const now = clock.now();
     const currentService = service;
     if (currentService === undefined) return;
+    const sentTo = backend;
     job.started = true;
     job.startedAt = now;
     retryLedger.open(call.id, call.retryAllowance);
@@ -337,20 +380,16 @@
       remainingMs: call.deadlineAt - now,
       payload: call.payload,
       signal: job.abort.signal,
-      onNotice: (stated) => {
-        if (!isSameNotice(stated)) {
-          task.post({ kind: "notice", notice: stated });
-        }
+      onNotice: (notice) => {
+        const known = notices.current();
+        if (sentTo === undefined) return;
+        if (known !== undefined && isSameNotice(known, notice)) return;
+        task.post({ kind: "notice", backend: sentTo, notice });
       },
     }, currentService);
     completion.then((result) => task.post({ kind: "ended", job, result }));
   }
 
-  function isSameNotice(stated: BackendNotice): boolean {
-    const { requestsPerS, leaving } = notice;
-    return stated.requestsPerS === requestsPerS && stated.leaving === leaving;
-  }
-
   function performActions(actions: readonly GateAction[]): void {
     const now = clock.now();
     for (const action of actions) {
@@ -427,6 +466,8 @@
         if (admission === undefined || isUnlisted()) {
           return finish(job, createEmptyAnswer(refused("not_ready")));
         }
+        const { remembered } = job.call;
+        if (remembered !== undefined) recallNotice(remembered);
         return performActions(admission.offer(job.work, now));
       }
       case "ended": {
@@ -463,8 +504,7 @@
       case "backend":
         return applyBackendState(message.backend);
       case "notice":
-        notice = message.notice;
-        return noticeLog.changed(backend?.id, notice);
+        return observeNotice(message.backend, message.notice);
       case "tick":
         return performActions(admission?.tick(now) ?? []);
       case "leave":
@@ -528,7 +568,12 @@
       // leaving.
       return isUnlisted() ? { ...load, leaving } : load;
     },
-    notice: () => notice,
+    report: () => {
+      const notice = notices.current();
+      if (backend === undefined || notice === undefined) return undefined;
+      const { id, startedAt } = backend;
+      return { id, startedAt, ...notice };
+    },
     leave: () => task.post({ kind: "leave" }),
     isIdle: () => jobs.size === 0,
     close: () => {
--- a/packages/node/src/ingress/forwarder.ts
+++ b/packages/node/src/ingress/forwarder.ts
@@ -1,7 +1,7 @@
 /** Sends attempts to the gates of upstreams and converts their replies. */
 
 import type { Clock } from "@coltsfootdeal/kernel";
-import type { AttemptEnd, Outcome } from "@coltsfootdeal/policy";
+import type { AttemptEnd, BackendReport, Outcome } from "@coltsfootdeal/policy";
 import type { Gate, GateCall } from "../gate/gate.ts";
 import type { LinkClient, LinkResult } from "../link/link_client.ts";
 import type { ReplyMessage } from "../link/messages.ts";
@@ -18,6 +18,10 @@
   readonly gate: Gate;
   /** Bundle version in force and its source, sent with each attempt. */
   readonly bundleAnnouncement: () => string;
+  /** What this node remembers of a backend server, by instance id. */
+  readonly rememberedOf: (instance: string) => BackendReport | undefined;
+  /** Called with what a gate reports of its backend server. */
+  readonly onBackendReport: (report: BackendReport) => void;
   /** Called with the state that a node reports in each reply. */
   readonly onInstanceSeen: (instance: {
     readonly instance: string;
@@ -70,6 +74,7 @@
       caller: request.caller,
       retryAllowance: attempt.retryAllowance,
       exclusive: attempt.exclusive,
+      remembered: config.rememberedOf(attempt.upstream.id),
       payload: attempt.payload,
     };
   }
@@ -86,6 +91,8 @@
     const call = { ...toGateCall(attempt), deadlineAt: attempt.deadlineAt };
     const reply = await gate.submit(call, attempt.signal);
     const { slotMs, usualMs, makesNestedCalls: nested } = reply;
+    const stated = gate.report();
+    if (stated !== undefined) config.onBackendReport(stated);
     return {
       end: toAttemptEnd(reply.answer.outcome, reply.unusedRetries),
       answer: reply.answer,
@@ -95,7 +102,8 @@
   }
 
   function fromReply(reply: ReplyMessage): AttemptResult {
-    const { answer, report, instance, incarnation, death } = reply;
+    const { answer, report, instance, incarnation, death, stated } = reply;
+    if (stated !== undefined) config.onBackendReport(stated);
     config.onInstanceSeen({ instance, incarnation, leaving: report.leaving });
     return {
       end: toAttemptEnd(answer.outcome, reply.unusedRetries),
--- a/packages/node/src/link/__tests__/link_client_test.ts
+++ b/packages/node/src/link/__tests__/link_client_test.ts
@@ -69,6 +69,7 @@
       caller: "portal",
       retryAllowance: 1,
       exclusive: false,
+      remembered: undefined,
       payload: {
         method: "GET",
         path: "/",
--- a/packages/node/src/link/__tests__/link_server_test.ts
+++ b/packages/node/src/link/__tests__/link_server_test.ts
@@ -31,6 +31,7 @@
       queued: 0,
       limit: 1,
     }),
+    report: () => undefined,
   };
   const links = createLinkServer({
     service: "seals",
@@ -82,6 +83,7 @@
       caller: "front",
       retryAllowance: 0,
       exclusive: false,
+      remembered: undefined,
       payload: { method: "GET", path: "/", headers: {}, body: Buffer.alloc(0) },
     },
   };
--- a/packages/node/src/link/__tests__/messages_test.ts
+++ b/packages/node/src/link/__tests__/messages_test.ts
@@ -10,6 +10,13 @@
 const headers = fc.dictionary(text.filter((key) => key !== "__proto__"), text)
   .map((fields) => ({ ...fields }));
 
+const backendReport = fc.record({
+  id: text,
+  startedAt: fc.option(count, { nil: undefined }),
+  requestsPerS: fc.option(count, { nil: undefined }),
+  leaving: fc.boolean(),
+});
+
 const run = fc.record({
   kind: fc.constant("run" as const),
   id: count,
@@ -26,6 +33,7 @@
     caller: text,
     retryAllowance: count,
     exclusive: fc.boolean(),
+    remembered: fc.option(backendReport, { nil: undefined }),
     payload: fc.record({ method: text, path: text, headers, body }),
   }),
 });
@@ -64,6 +72,7 @@
   instance: text,
   incarnation: text,
   death: fc.constant(undefined),
+  stated: fc.option(backendReport, { nil: undefined }),
 });
 
 const message: fc.Arbitrary<LinkMessage> = fc.oneof(
--- a/packages/node/src/link/field_reader.ts
+++ b/packages/node/src/link/field_reader.ts
@@ -12,6 +12,8 @@
   readonly readString: () => string;
   /** Reads a number that is not negative. */
   readonly readNumber: () => number;
+  /** Reads a number that is not negative; undefined if the field is null. */
+  readonly readOptionalNumber: () => number | undefined;
   readonly readBoolean: () => boolean;
   /** Reads a byte array; the buffer shares its memory. */
   readonly readBytes: () => Buffer;
@@ -19,8 +21,8 @@
   /** Reads an object whose values are all strings. */
   readonly readHeaders: () => HeaderFields;
   /**
-   * Returns a reader of a list; undefined if the field is null, which is valid,
-   * or not a list.
+   * Returns a reader of a list; undefined if the field is not a list. Null and
+   * a field that an earlier version does not send are valid.
    */
   readonly readList: () => FieldReader | undefined;
   /** Whether this reader and those of its lists met only expected types. */
@@ -52,15 +54,20 @@
     return fallback;
   }
 
+  function toNumber(value: unknown): number {
+    const isNonNegative = typeof value === "number" && value >= 0;
+    return isNonNegative ? value : reject(0);
+  }
+
   return {
     readString: () => {
       const value = next();
       return typeof value === "string" ? value : reject("");
     },
-    readNumber: () => {
+    readNumber: () => toNumber(next()),
+    readOptionalNumber: () => {
       const value = next();
-      const isNonNegative = typeof value === "number" && value >= 0;
-      return isNonNegative ? value : reject(0);
+      return value === null ? undefined : toNumber(value);
     },
     readBoolean: () => {
       const value = next();
@@ -82,7 +89,7 @@
     },
     readList: () => {
       const value = next();
-      if (value === null) return undefined;
+      if (value === null || value === undefined) return undefined;
       if (!Array.isArray(value)) return reject(undefined);
       const reader = createFieldReader(value);
       listReaders = [...listReaders, reader];
--- a/packages/node/src/link/link_server.ts
+++ b/packages/node/src/link/link_server.ts
@@ -85,6 +85,7 @@
         instance: config.instance(),
         incarnation: config.incarnation,
         death,
+        stated: gate.report(),
       });
     }
 
--- a/packages/node/src/link/messages.ts
+++ b/packages/node/src/link/messages.ts
@@ -9,6 +9,7 @@
 
 import { Buffer } from "node:buffer";
 import type {
+  BackendReport,
   Death,
   Outcome,
   RefusalReason,
@@ -52,6 +53,8 @@
   readonly incarnation: string;
   /** The death of the backend server, if it died during the call. */
   readonly death: Death | undefined;
+  /** What the gate knows of its backend server's notice, if anything. */
+  readonly stated: BackendReport | undefined;
 }
 
 /** A message in either direction. */
@@ -108,6 +111,14 @@
   }
 }
 
+function encodeBackendReport(
+  report: BackendReport | undefined,
+): readonly unknown[] | null {
+  if (report === undefined) return null;
+  const { id, startedAt, requestsPerS, leaving } = report;
+  return [id, startedAt ?? null, requestsPerS ?? null, leaving];
+}
+
 function encodeFields(message: LinkMessage): readonly unknown[] {
   switch (message.kind) {
     case "run": {
@@ -131,6 +142,7 @@
         path,
         headers,
         body,
+        encodeBackendReport(call.remembered),
       ];
     }
     case "reply": {
@@ -155,6 +167,7 @@
         message.instance,
         message.incarnation,
         death === undefined ? null : [death.id, death.instance, death.digests],
+        encodeBackendReport(message.stated),
       ];
     }
     case "cancel":
@@ -175,6 +188,15 @@
   return frame;
 }
 
+function readBackendReport(reader: FieldReader): BackendReport | undefined {
+  const fields = reader.readList();
+  if (fields === undefined) return undefined;
+  const id = fields.readString();
+  const startedAt = fields.readOptionalNumber();
+  const requestsPerS = fields.readOptionalNumber();
+  return { id, startedAt, requestsPerS, leaving: fields.readBoolean() };
+}
+
 function readRun(reader: FieldReader): RunMessage {
   const id = reader.readNumber();
   const service = reader.readString();
@@ -196,6 +218,7 @@
       headers: reader.readHeaders(),
       body: reader.readBytes(),
     },
+    remembered: readBackendReport(reader),
   };
   return { kind: "run", id, service, remainingMs, version, call };
 }
@@ -234,6 +257,7 @@
   const incarnation = reader.readString();
   const deathReader = reader.readList();
   const death = deathReader && readDeath(deathReader);
+  const stated = readBackendReport(reader);
   if (outcome === undefined || report === undefined) return undefined;
   const answer: Answer = {
     outcome,
@@ -250,6 +274,7 @@
     report,
     ...sender,
     death,
+    stated,
   };
 }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -151,7 +151,12 @@
     suspects,
     createFeed: (sinks) => adapter.createFeed(sinks, httpClient),
     onOwnInstance: (own) =>
-      gate.setBackendState({ id: own.id, state: own.state, slots: own.slots }),
+      gate.setBackendState({
+        id: own.id,
+        state: own.state,
+        slots: own.slots,
+        startedAt: own.startedAt,
+      }),
     control: createControlClient(httpClient),
   });
   const links = createLinkClient(clock);
@@ -171,6 +176,8 @@
     service: settings.service,
     gate,
     bundleAnnouncement: agent.bundleAnnouncement,
+    rememberedOf: agent.rememberedOf,
+    onBackendReport: agent.recordBackendReport,
     onInstanceSeen: (seen) =>
       agent.recordInstanceFact({
         id: seen.instance,
@@ -212,7 +219,7 @@
   });
   const metrics = createMetrics({
     gateLoad: gate.load,
-    backendRate: () => gate.notice().requestsPerS ?? 0,
+    backendRate: () => gate.report()?.requestsPerS ?? 0,
     bundleVersion: () => store.inForce(FLEET_SCOPE)?.version ?? 0,
     tickets: ticketed.size,
     instances: () => agent.status().instances,
--- a/packages/policy/src/__tests__/admission_test.ts
+++ b/packages/policy/src/__tests__/admission_test.ts
@@ -312,3 +312,53 @@
   expect(child).toBeGreaterThan(request);
   expect(child).toBeLessThanOrEqual(2 * QUEUE_WAIT_MAX_MS / runMs + 1);
 });
+
+test("work above a stated rate is refused, the least important first", () => {
+  const gate = createAdmission({ slots: 50, floors: new Map() });
+  const observer = createObserver();
+  gate.setRate(10, 0);
+  // Twice the rate, half of it important.
+  for (let now = 0; now < 10_000; now += 50) {
+    observer.apply(gate.tick(now));
+    const level = (now / 50) % 2 === 0 ? 10 : 4 * LEVELS_PER_RANK;
+    observer.apply(gate.offer(
+      createWork(`${now}`, { level, deadlineAt: now + 2_000 }),
+      now,
+    ));
+    for (const id of [...observer.running.keys()]) {
+      observer.running.delete(id);
+      observer.apply(gate.finish(id, { shed: false }, { now }));
+    }
+  }
+  const refusedLevels = [...observer.refused.values()].map(({ work }) =>
+    work.level
+  );
+  expect(refusedLevels.length).toBeGreaterThan(80);
+  const importantRefused = refusedLevels.filter((level) => level > 10).length;
+  expect(importantRefused).toBeLessThan(refusedLevels.length / 10);
+});
+
+test("a gate at a limited rate reports as much room as the rate fills", () => {
+  const gate = createAdmission({ slots: 50, floors: new Map() });
+  for (let index = 0; index < 20; index++) {
+    gate.offer(createWork(`${index}`), 0);
+    gate.finish(`${index}`, { shed: false }, { now: 400 });
+  }
+  expect(gate.load(1_000).limit).toBe(50);
+  gate.setRate(10, 1_000);
+  expect(gate.load(1_000).limit).toBe(4);
+  gate.setRate(undefined, 2_000);
+  expect(gate.load(2_000).limit).toBe(50);
+});
+
+test("runs are not cancelled to make room that the rate does not give", () => {
+  const gate = createAdmission({ slots: 50, floors: new Map() });
+  gate.setRate(1, 0);
+  gate.offer(createWork("lesser", { cancellable: true }), 0);
+  const urgent = createWork("urgent", {
+    level: PROTECTED_LEVEL,
+    deadlineAt: 200,
+  });
+  const kinds = gate.offer(urgent, 10).map(({ kind }) => kind);
+  expect(kinds).not.toContain("cancel");
+});
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -18,6 +18,7 @@
 import { depthOf, isRequestLevel } from "./level.ts";
 import { createConcurrencyLimit } from "./limit.ts";
 import { createNesting } from "./nesting.ts";
+import { createRateLimit } from "./rate_limit.ts";
 import { createActiveRuns, type Run } from "./running.ts";
 import { createServiceTime } from "./service_time.ts";
 import { createThrottle } from "./throttle.ts";
@@ -96,6 +97,11 @@
   readonly tick: (now: number) => readonly GateAction[];
   /** Applies changed slots and floors; other fields keep their values. */
   readonly configure: (config: AdmissionConfig) => void;
+  /**
+   * Sets the rate at which work is started, in calls per second; undefined
+   * removes the limit.
+   */
+  readonly setRate: (callsPerS: number | undefined, now: number) => void;
   /** Refuses new work from now on; queued work still runs. */
   readonly leave: () => void;
   /** Accepts new work again after `leave`. */
@@ -139,6 +145,7 @@
   const throttle = createThrottle();
   const nesting = createNesting();
   const runs = createActiveRuns();
+  const rate = createRateLimit();
   let protectedRefusedAt = -Infinity;
   let leaving = false;
 
@@ -152,8 +159,9 @@
 
   function estimateWaitMs(level: number, now: number): number {
     const ahead = queue.countAtOrAbove(level);
-    return (ahead * times.averageOverall() * runs.slowdown(now)) /
+    const slotWaitMs = (ahead * times.averageOverall() * runs.slowdown(now)) /
       limit.current();
+    return Math.max(slotWaitMs, rate.waitMs(ahead, now));
   }
 
   function refuse(
@@ -170,6 +178,7 @@
     const makesNestedCalls = nesting.makesNestedCalls(work.kind);
     const expectedMs = times.averageOfKind(work.kind);
     runs.start(work, { now, expectedMs, makesNestedCalls });
+    rate.take(now);
     return { kind: "run", work };
   }
 
@@ -187,7 +196,7 @@
   }
 
   function hasSlotFor(work: Work, now: number): boolean {
-    if (runs.exclusiveCount() > 0) return false;
+    if (!rate.allows(now) || runs.exclusiveCount() > 0) return false;
     if (work.exclusive) return runs.size() === 0;
     if (!mayTakeSlot(work.kind, work.level, now)) return false;
     return runs.size() < limit.current();
@@ -263,10 +272,24 @@
   /**
    * Longest estimated wait in ms with which unprotected work is queued. It
    * grows with the depth of nested calls, because refusing one wastes the work
-   * that its parent run has done already.
+   * that its parent run has done already. At a low rate one call may wait, so
+   * that the most important one that has come is sent next.
    */
   function maxWaitMs(level: number): number {
-    return maxQueueWaitMs * (1 + depthOf(level));
+    const depthWaitMs = maxQueueWaitMs * (1 + depthOf(level));
+    return Math.max(depthWaitMs, rate.intervalMs());
+  }
+
+  /**
+   * Runs that the backend server can take at a time: at a limited rate, as many
+   * as are in flight on average.
+   */
+  function effectiveLimit(): number {
+    const intervalMs = rate.intervalMs();
+    const averageMs = times.averageOverall();
+    if (intervalMs === 0 || averageMs === 0) return limit.current();
+    const inFlight = Math.floor(averageMs / intervalMs);
+    return Math.max(1, Math.min(limit.current(), inFlight));
   }
 
   function canFinishInTime(work: Work, now: number): boolean {
@@ -296,7 +319,10 @@
    * work if no run can be cancelled.
    */
   function preemptFor(work: Work, now: number): GateAction[] {
-    const toCancel = runs.findPreemptible(PROTECTED_LEVEL);
+    // A cancelled run gives back its slot, but not its share of the rate.
+    const toCancel = rate.allows(now)
+      ? runs.findPreemptible(PROTECTED_LEVEL)
+      : undefined;
     if (toCancel === undefined) return [refuse(work, "overload", now)];
     // If nothing can be evicted, the work is queued beyond the maximum length.
     // Each cancelled run allows one such entry, so the excess is bounded.
@@ -331,6 +357,7 @@
    */
   function preemptForUrgent(now: number): GateAction[] {
     if (queue.countAtOrAbove(PROTECTED_LEVEL) === 0) return [];
+    if (!rate.allows(now)) return [];
     let needed = -runs.cancellingCount();
     for (const work of queue.entries()) {
       if (isProtected(work) && mustStartNow(work, now)) needed++;
@@ -409,6 +436,7 @@
       config = next;
       limit.resize(next.slots);
     },
+    setRate: rate.set,
     leave: () => {
       leaving = true;
     },
@@ -433,7 +461,7 @@
       return {
         inFlight: runs.size(),
         queued: queue.size(),
-        limit: limit.current(),
+        limit: effectiveLimit(),
         acceptLevel,
         leaving,
       };
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -170,3 +170,13 @@
 export const BOOTSTRAP_JITTER_MS = 10_000;
 /** Lifetime of the fact that an instance is leaving. */
 export const LEAVING_FACT_TTL_MS = 60_000;
+
+/** Time at a backend server's stated rate whose calls may be sent at once. */
+export const RATE_BURST_MS = 250;
+/**
+ * Smallest rate that a gate keeps, in calls per second. A rate of 0 would never
+ * be revised, since only answers revise it.
+ */
+export const RATE_MIN_PER_S = 0.5;
+/** Maximum number of backend servers whose notices a node remembers. */
+export const NOTICES_MAX = 4_096;
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -17,6 +17,7 @@
 export * from "./outcome.ts";
 export * from "./pause.ts";
 export * from "./random.ts";
+export * from "./rate_limit.ts";
 export * from "./readers.ts";
 export * from "./retry_budget.ts";
 export * from "./router.ts";
--- a/packages/standin/src/mesh_backend.ts
+++ b/packages/standin/src/mesh_backend.ts
@@ -75,6 +75,14 @@
   readonly calls?: Readonly<Record<string, readonly MeshCall[]>>;
 }
 
+/** What a backend server states in the headers of all its answers. */
+export interface MeshStatement {
+  /** Requests per second that it accepts from all nodes, as it is written. */
+  readonly limit?: string;
+  /** Whether it is leaving. */
+  readonly leaving?: boolean;
+}
+
 /** A request that the backend server ran. */
 export interface MeshRun {
   readonly requestId: string;
@@ -93,6 +101,8 @@
   readonly runs: () => readonly MeshRun[];
   /** Requests that were refused without being run. */
   readonly refused: () => number;
+  /** Times at which requests arrived, refused ones too, in ms. */
+  readonly arrivals: () => readonly number[];
   /** Runs whose connection closed before they ended. */
   readonly cancelled: () => number;
   /** Highest number of requests that ran concurrently. */
@@ -100,6 +110,8 @@
   /** Changes the id, as if another backend server took over the address. */
   readonly setId: (id: string) => void;
   readonly setServiceMs: (serviceMs: number) => void;
+  /** Sets what all answers from now on state; nothing at first. */
+  readonly setStatement: (statement: MeshStatement) => void;
   /** Makes the next `count` runs show the fault, after those queued before. */
   readonly injectFault: (fault: MeshFault, count: number) => void;
   readonly close: () => Promise<void>;
@@ -121,6 +133,8 @@
 ): Promise<MeshBackend> {
   const agent = new Agent({ keepAlive: true });
   const runs: MeshRun[] = [];
+  const arrivals: number[] = [];
+  let statement: Readonly<Record<string, string>> = {};
   const slotWaiters: (() => void)[] = [];
   const faults: MeshFault[] = [];
   const repeatedRefusals = new WeakSet<Socket>();
@@ -133,7 +147,8 @@
     headers: Readonly<Record<string, string>>,
   ): void {
     const body = `status ${status}`;
-    response.writeHead(status, { "content-length": body.length, ...headers });
+    const framing = { "content-length": body.length };
+    response.writeHead(status, { ...framing, ...statement, ...headers });
     response.end(body);
   }
 
@@ -184,6 +199,7 @@
     const headers: Record<string, string> = {
       "x-request-id": run.requestId,
       "x-response-signature": `${id}.${run.requestId}`,
+      ...statement,
     };
     switch (fault) {
       case "answer_lost":
@@ -247,6 +263,7 @@
     if (incoming.url === "/health") {
       return send(response, 200, { "x-instance-id": id });
     }
+    arrivals.push(receivedAt);
     const expected = firstValue(headers["x-expected-instance"]);
     if (expected !== "" && expected !== id) {
       counts.refused++;
@@ -314,6 +331,7 @@
     address: server.address,
     runs: () => runs,
     refused: () => counts.refused,
+    arrivals: () => arrivals,
     cancelled: () => counts.cancelled,
     peakConcurrency: () => counts.peak,
     setId: (next) => {
@@ -322,6 +340,12 @@
     setServiceMs: (next) => {
       serviceMs = next;
     },
+    setStatement: ({ limit, leaving }) => {
+      statement = {
+        ...(limit === undefined ? {} : { "server-limit": limit }),
+        ...(leaving ? { "server-leaving": "1" } : {}),
+      };
+    },
     injectFault: (fault, count) => {
       for (let index = 0; index < count; index++) faults.push(fault);
     },
