fix(node): a backend server that states its leaving gets nothing from any node

Cause: the header was passed on and used by nobody; that a backend server leaves was known from the instance list alone, and a mark set by an answer belonged to the process beside it, so a restart of that process or a list entry written again cleared it. Change: the statement belongs to one incarnation of the backend server (id and start). A later start under the same id ends it.

--- a/packages/node/src/agent/__tests__/agent_test.ts
+++ b/packages/node/src/agent/__tests__/agent_test.ts
@@ -94,6 +94,7 @@
       return feed;
     },
     onOwnInstance: () => {},
+    onOwnReport: () => {},
     control: {
       push: (_address: string, news: readonly News[]) => {
         pushed.push(...news);
--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "@coltsfootdeal/kernel";
 import {
   ANTI_ENTROPY_PERIOD_MS,
+  type BackendIncarnation,
   type BackendReport,
   BOOTSTRAP_JITTER_MS,
   createGossipState,
@@ -36,9 +37,11 @@
   BUNDLE_TOPIC_PREFIX,
   createDeathNews,
   createFactNews,
+  createLeavingNews,
   DEATH_TOPIC_PREFIX,
   FACT_TOPIC_PREFIX,
   INSTANCE_TOPIC_PREFIX,
+  NOTICE_TOPIC_PREFIX,
   parseNewsValue,
   requiresPush,
   shortDigest,
@@ -68,6 +71,8 @@
    * the address has passed to another service.
    */
   readonly onOwnInstance: (instance: ListedInstance) => void;
+  /** Called with what peers remember of this node's backend server. */
+  readonly onOwnReport: (report: BackendReport) => void;
   readonly control: ControlClient;
 }
 
@@ -249,6 +254,8 @@
         changed = applyInstanceNews(item) || changed;
       } else if (item.topic.startsWith(FACT_TOPIC_PREFIX)) {
         changed = applyFactNews(item) || changed;
+      } else if (item.topic.startsWith(NOTICE_TOPIC_PREFIX)) {
+        changed = applyLeavingNews(item) || changed;
       } else if (item.topic.startsWith(DEATH_TOPIC_PREFIX)) {
         applyDeathNews(item);
       } else if (item.topic.startsWith(BUNDLE_TOPIC_PREFIX)) {
@@ -265,6 +272,7 @@
     const { id, service, dataCentre, state } = instance;
     if (state === "gone") {
       revisions.delete(id);
+      gossip.forget(NOTICE_TOPIC_PREFIX + id);
       broadcast.recordDeparture(instance);
     } else {
       revisions.set(id, news.version);
@@ -290,6 +298,8 @@
       return;
     }
     config.onOwnInstance(instance);
+    const remembered = notices.find(instance.id);
+    if (remembered !== undefined) config.onOwnReport(remembered);
     if (instance.state === "gone" || instance.id === listedId) return;
     listedId = instance.id;
     applyNews([createOwnFactNews()]);
@@ -300,6 +310,22 @@
     return createFactNews({ id: listedId, incarnation, leaving });
   }
 
+  function applyLeavingNews(news: News): boolean {
+    const stated = parseNewsValue<BackendIncarnation>(news);
+    if (stated === undefined) return false;
+    const { id, startedAt } = stated;
+    if (membership.find(id) === undefined) {
+      // It left the list here already. If it was not listed yet, a later
+      // comparison delivers the news again.
+      gossip.forget(news.topic);
+    }
+    const report = { id, startedAt, requestsPerS: undefined, leaving: true };
+    if (!notices.record(report)) return false;
+    audit.record("backend_leaving", { id, startedAt });
+    if (id === listedId) config.onOwnReport(report);
+    return true;
+  }
+
   function applyFactNews(news: News): boolean {
     const fact = parseNewsValue<InstanceFact>(news);
     return fact !== undefined && applyFact(fact);
@@ -325,7 +351,10 @@
   function refreshRoutes(): void {
     const now = clock.now();
     for (const service of membership.services()) {
-      router.update(service, membership.upstreams(service, now), { now });
+      const upstreams = membership.upstreams(service, now).filter(
+        ({ id, startedAt }) => !notices.isLeaving({ id, startedAt }),
+      );
+      router.update(service, upstreams, { now });
     }
     const { dataCentre, dataCentres } = settings;
     // The first data centre is this node's own.
@@ -451,7 +480,13 @@
       }
     },
     recordBackendReport: (report) => {
-      notices.record(report);
+      if (!notices.record(report) || !report.leaving) return;
+      audit.record("backend_leaving", {
+        id: report.id,
+        startedAt: report.startedAt,
+      });
+      storeNews([createLeavingNews(report)]);
+      refreshRoutes();
     },
     rememberedOf: notices.find,
     receiveBundleAnnouncement: (text) => {
--- a/packages/node/src/agent/news.ts
+++ b/packages/node/src/agent/news.ts
@@ -2,6 +2,7 @@
 
 import { createHash } from "node:crypto";
 import {
+  type BackendReport,
   type Death,
   type InstanceFact,
   LEAVING_FACT_TTL_MS,
@@ -18,6 +19,9 @@
 /** Prefix of the topics of backend server deaths, before the death's id. */
 export const DEATH_TOPIC_PREFIX = "death/";
 
+/** Prefix of the topics of leaving backend servers, before the instance id. */
+export const NOTICE_TOPIC_PREFIX = "notice/";
+
 /** Returns the first 16 hex digits of the SHA-256 of a text. */
 export function shortDigest(text: string): string {
   return createHash("sha256").update(text).digest("hex").slice(0, 16);
@@ -40,6 +44,18 @@
   };
 }
 
+/** Creates the news that a backend server has stated that it is leaving. */
+export function createLeavingNews({ id, startedAt }: BackendReport): News {
+  const report = { id, startedAt, leaving: true };
+  const value = JSON.stringify(report);
+  return {
+    topic: NOTICE_TOPIC_PREFIX + id,
+    version: startedAt ?? 0,
+    digest: shortDigest(value),
+    value,
+  };
+}
+
 /** Creates the news of the death of a backend server. */
 export function createDeathNews(death: Death): News {
   const value = JSON.stringify(death);
--- a/packages/node/src/gate/__tests__/gate_test.ts
+++ b/packages/node/src/gate/__tests__/gate_test.ts
@@ -67,6 +67,7 @@
     retryLedger: createRetryLedger(),
     runRegistry: createRunRegistry(),
     onDecision: () => {},
+    onNotice: () => {},
     onDeath: () => {},
     onExclusiveRunSurvived: () => {},
   });
--- a/packages/node/src/gate/gate.ts
+++ b/packages/node/src/gate/gate.ts
@@ -119,6 +119,8 @@
    * each failed run.
    */
   readonly onDecision: (event: string, fields: LogFields) => void;
+  /** Called when an answer of the backend server changes what it states. */
+  readonly onNotice: (report: BackendReport) => void;
   /** Called for each death of the backend server. */
   readonly onDeath: (death: Death) => void;
   /** Called when an exclusive run ended with a response of any status. */
@@ -134,6 +136,8 @@
   /** Applies the backend server's state in the instance list. */
   readonly setBackendState: (backend: BackendState) => void;
   readonly load: () => GateLoad;
+  /** Applies what another node remembers of the backend server. */
+  readonly recall: (remembered: BackendReport) => void;
   /** What the backend server states; undefined while nothing is known. */
   readonly report: () => BackendReport | undefined;
   /** Refuses new calls from now on, permanently; queued calls still run. */
@@ -163,6 +167,7 @@
     readonly backend: BackendIncarnation;
     readonly notice: BackendNotice;
   }
+  | { readonly kind: "recall"; readonly remembered: BackendReport }
   | { readonly kind: "tick" }
   | { readonly kind: "leave" };
 
@@ -277,9 +282,7 @@
         throttleInterval: intervalMode,
       });
       // The list may have named the backend server before there was a bundle.
-      const isBackendLeaving = backend !== undefined &&
-        backend.state !== "live";
-      if (leaving || isBackendLeaving) admission.leave();
+      if (leaving || isBackendLeaving()) admission.leave();
     } else {
       admission.configure({ slots, floors });
     }
@@ -296,7 +299,17 @@
       admission?.setRate(undefined, clock.now());
       admission?.resetLimit();
     }
-    if (next.state === "live") {
+    applyLeaving();
+  }
+
+  /** Whether the backend server must get no new calls. */
+  function isBackendLeaving(): boolean {
+    const isListedLive = backend === undefined || backend.state === "live";
+    return !isListedLive || notices.current()?.leaving === true;
+  }
+
+  function applyLeaving(): void {
+    if (!isBackendLeaving()) {
       if (!leaving) admission?.resume();
       return;
     }
@@ -307,6 +320,7 @@
   function applyNotice({ requestsPerS }: BackendNotice): void {
     const now = clock.now();
     admission?.setRate(requestsPerS, now);
+    applyLeaving();
     performActions(admission?.tick(now) ?? []);
   }
 
@@ -318,11 +332,14 @@
     if (backend === undefined || !isSameIncarnation(sentTo, backend)) return;
     const before = notices.current() ?? EMPTY_NOTICE;
     const next = notices.observe(notice);
-    if (!isSameNotice(before, next)) noticeLog.changed(backend.id, next);
+    if (isSameNotice(before, next)) return;
+    noticeLog.changed(backend.id, next);
     applyNotice(next);
+    const { id, startedAt } = backend;
+    config.onNotice({ id, startedAt, ...next });
   }
 
-  /** Applies what the sender of a call remembers, after a restart of this node. */
+  /** Applies what a peer remembers, after a restart of this node. */
   function recallNotice(remembered: BackendReport): void {
     if (backend === undefined) return;
     if (!isSameIncarnation(remembered, backend)) return;
@@ -505,6 +522,8 @@
         return applyBackendState(message.backend);
       case "notice":
         return observeNotice(message.backend, message.notice);
+      case "recall":
+        return recallNotice(message.remembered);
       case "tick":
         return performActions(admission?.tick(now) ?? []);
       case "leave":
@@ -568,6 +587,7 @@
       // leaving.
       return isUnlisted() ? { ...load, leaving } : load;
     },
+    recall: (remembered) => task.post({ kind: "recall", remembered }),
     report: () => {
       const notice = notices.current();
       if (backend === undefined || notice === undefined) return undefined;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -127,6 +127,7 @@
     retryLedger,
     runRegistry,
     onDecision: decisionLog.record,
+    onNotice: (report) => agent.recordBackendReport(report),
     onDeath: (death) => recordDeath(death),
     onExclusiveRunSurvived: (digest) => suspects.clear(digest, clock.now()),
   });
@@ -157,6 +158,7 @@
         slots: own.slots,
         startedAt: own.startedAt,
       }),
+    onOwnReport: gate.recall,
     control: createControlClient(httpClient),
   });
   const links = createLinkClient(clock);
--- a/packages/policy/src/membership.ts
+++ b/packages/policy/src/membership.ts
@@ -91,6 +91,10 @@
         byService.get(instance.service)?.delete(instance.id);
         return entries.delete(instance.id);
       }
+      if (before && before.startedAt !== instance.startedAt) {
+        // A backend server that started again is not leaving any more.
+        entry.leavingAt = undefined;
+      }
       entry.listed = instance;
       const ids = byService.get(instance.service) ?? new Set();
       byService.set(instance.service, ids.add(instance.id));
@@ -114,9 +118,16 @@
       for (const id of byService.get(service) ?? []) {
         const entry = entries.get(id);
         if (!entry?.listed || isLeaving(entry, now)) continue;
-        const { dataCentre, address } = entry.listed;
+        const { dataCentre, address, startedAt } = entry.listed;
         const { incarnation } = entry;
-        list.push({ id, service, dataCentre, address, incarnation });
+        list.push({
+          id,
+          service,
+          dataCentre,
+          address,
+          incarnation,
+          ...(startedAt === undefined ? {} : { startedAt }),
+        });
       }
       return list;
     },
--- a/packages/policy/src/router.ts
+++ b/packages/policy/src/router.ts
@@ -228,7 +228,8 @@
     options: { readonly now: number; readonly warm?: boolean },
   ): GateEntry {
     const known = entries.get(upstream.id);
-    const current = known?.upstream.incarnation === upstream.incarnation;
+    const current = known?.upstream.incarnation === upstream.incarnation &&
+      known.upstream.startedAt === upstream.startedAt;
     if (known && current) {
       known.upstream = upstream;
       return known;
--- a/packages/policy/src/upstream.ts
+++ b/packages/policy/src/upstream.ts
@@ -10,6 +10,8 @@
   readonly address: string;
   /** Unique to each start of the process; empty until the gate reports it. */
   readonly incarnation: string;
+  /** Start of its backend server in Unix ms, if the list states it. */
+  readonly startedAt?: number;
 }
 
 /** Load that a gate reports with each answer. */
