--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -279,7 +279,14 @@
     }
     if (membership.applyListed(instance, clock.now())) {
       const event = state === "gone" ? "instance_gone" : "instance_listed";
-      audit.record(event, { id, service, dataCentre, state });
+      audit.record(event, {
+        id,
+        service,
+        dataCentre,
+        state,
+        startedAt: instance.startedAt,
+        revision: news.version,
+      });
     }
     applyOwnEntry(instance);
     return true;
--- a/packages/node/src/agent/key_feed.ts
+++ b/packages/node/src/agent/key_feed.ts
@@ -28,10 +28,20 @@
   /** A value that cannot be decoded or that another application wrote. */
   | { readonly kind: "foreign"; readonly key: string; readonly reason: string };
 
-/** Changes of keys, and the revision of the store that includes them. */
+/** A point in the store's history. */
+export interface StorePosition {
+  /**
+   * Number of times that the store came back from a backup. Within an era,
+   * revisions only increase; a later one may assign revisions again.
+   */
+  readonly era: number;
+  readonly revision: number;
+}
+
+/** Changes of keys, and the position of the store that includes them. */
 export interface StoreChanges {
   readonly changes: readonly StoreChange[];
-  readonly revision: number;
+  readonly position: StorePosition;
 }
 
 /** A page of a list. */
@@ -76,6 +86,10 @@
 export interface KeyValueFeedConfig extends FeedSinks {
   readonly clock: Clock;
   readonly reader: StoreReader;
+  /** Called when the store answers from another era than before. */
+  readonly onEraChange: (
+    change: StorePosition & { readonly before: number },
+  ) => void;
   /** Called with each entry that is skipped because it cannot be used. */
   readonly onForeignEntry: (key: string, reason: string) => void;
 }
@@ -99,8 +113,16 @@
   const closing = new AbortController();
   let abort: AbortController | undefined;
   let isListing = false;
+  let latestEra: number | undefined;
   const reachability = createReachability(config.onReachabilityChange);
 
+  function observeEra({ era, revision }: StorePosition): void {
+    if (latestEra !== undefined && era !== latestEra) {
+      config.onEraChange({ before: latestEra, era, revision });
+    }
+    latestEra = era;
+  }
+
   function remove(id: string, revision: number): void {
     const known = config.knownInstances().find((other) => other.id === id);
     if (known === undefined || known.revision >= revision) return;
@@ -169,7 +191,8 @@
       if (signal.aborted) return page.map(() => 0);
       // Pages are not one snapshot, so the watch starts at the revision of the
       // first page: no change between two pages is missed.
-      firstRevision ??= page.value.revision;
+      firstRevision ??= page.value.position.revision;
+      observeEra(page.value.position);
       for (const change of page.value.changes) {
         if (change.kind === "instance") listed.add(change.instance.id);
       }
@@ -221,12 +244,13 @@
     const waitMs = reachability.get() ? drawWatchWait() : 0;
     const result = await reader.watch({ after, waitMs }, signal);
     if (result.isOk() && !signal.aborted) {
-      const { changes } = result.value;
+      const { changes, position } = result.value;
+      observeEra(position);
       apply(changes);
       // The pause collects changes in quick succession into one request.
       if (changes.length > 0) await sleep(clock, STORE_WATCH_PAUSE_MS, signal);
     }
-    return result.map(({ revision }) => revision);
+    return result.map(({ position }) => position.revision);
   }
 
   return {
