fix(agent): a drain holds although the list takes it back

Cause: the state of a list entry was taken as it came, and a later entry that says 'ready' undid a drain. A backend server that leaves does not stay. Evidence: leaving_test.ts, 'a drain holds when the list entry returns to an earlier state', on: red, 20 of 30 requests reached it. Change: a drain that the list states is kept as one that an answer states, for the incarnation (id and start); a gate takes it from memory in any case. Entries without a start are not covered: a restart under the same id can't be told there.

--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -288,10 +288,29 @@
         revision: news.version,
       });
     }
+    // An entry can return to an earlier state, but a backend server that leaves
+    // does not stay.
+    if (state === "leaving" && instance.startedAt !== undefined) {
+      const { startedAt } = instance;
+      recordLeaving({ id, startedAt }, { comparisonOnly: true });
+    }
     applyOwnEntry(instance);
     return true;
   }
 
+  /** Remembers that a backend server is leaving; false if that was known. */
+  function recordLeaving(
+    { id, startedAt }: BackendIncarnation,
+    options: ReceiveOptions = {},
+  ): boolean {
+    const report = { id, startedAt, requestsPerS: undefined, leaving: true };
+    if (!notices.record(report)) return false;
+    audit.record("backend_leaving", { id, startedAt });
+    gossip.receive([createLeavingNews(report)], clock.now(), options);
+    if (id === listedId) config.onOwnReport(report);
+    return true;
+  }
+
   /**
    * Applies the list entry at this node's address, if the settings take the
    * backend server from the list.
@@ -320,17 +339,11 @@
   function applyLeavingNews(news: News): boolean {
     const stated = parseNewsValue<BackendIncarnation>(news);
     if (stated === undefined) return false;
-    const { id, startedAt } = stated;
-    if (membership.find(id) === undefined) {
-      // It left the list here already. If it was not listed yet, a later
-      // comparison delivers the news again.
-      gossip.forget(news.topic);
-    }
-    const report = { id, startedAt, requestsPerS: undefined, leaving: true };
-    if (!notices.record(report)) return false;
-    audit.record("backend_leaving", { id, startedAt });
-    if (id === listedId) config.onOwnReport(report);
-    return true;
+    if (membership.find(stated.id) !== undefined) return recordLeaving(stated);
+    // It left the list here already. If it was not listed yet, a later
+    // comparison delivers the news again.
+    gossip.forget(news.topic);
+    return false;
   }
 
   function applyFactNews(news: News): boolean {
@@ -487,13 +500,8 @@
       }
     },
     recordBackendReport: (report) => {
-      if (!notices.record(report) || !report.leaving) return;
-      audit.record("backend_leaving", {
-        id: report.id,
-        startedAt: report.startedAt,
-      });
-      storeNews([createLeavingNews(report)]);
-      refreshRoutes();
+      if (report.leaving && recordLeaving(report)) refreshRoutes();
+      notices.record(report);
     },
     rememberedOf: notices.find,
     receiveBundleAnnouncement: (text) => {
--- a/packages/node/src/agent/news.ts
+++ b/packages/node/src/agent/news.ts
@@ -2,7 +2,7 @@
 
 import { createHash } from "node:crypto";
 import {
-  type BackendReport,
+  type BackendIncarnation,
   type Death,
   type InstanceFact,
   LEAVING_FACT_TTL_MS,
@@ -44,10 +44,11 @@
   };
 }
 
-/** Creates the news that a backend server has stated that it is leaving. */
-export function createLeavingNews({ id, startedAt }: BackendReport): News {
-  const report = { id, startedAt, leaving: true };
-  const value = JSON.stringify(report);
+/** Creates the news that a backend server is leaving for good. */
+export function createLeavingNews(
+  { id, startedAt }: BackendIncarnation,
+): News {
+  const value = JSON.stringify({ id, startedAt });
   return {
     topic: NOTICE_TOPIC_PREFIX + id,
     version: startedAt ?? 0,
--- a/packages/policy/src/notice.ts
+++ b/packages/policy/src/notice.ts
@@ -48,13 +48,13 @@
 }
 
 /**
- * The notice in force at a gate. Its own observations go before what peers
+ * The notice in force at a gate. The rate of an answer goes before what peers
  * remember, which is all that a gate has after it was started again.
  */
 export interface NoticeTracker {
   /** Applies an answer's notice; returns the one in force. */
   readonly observe: (notice: BackendNotice) => BackendNotice;
-  /** Applies what a peer remembers; returns the notice in force. */
+  /** Applies what is remembered elsewhere; returns the notice in force. */
   readonly recall: (notice: BackendNotice) => BackendNotice;
   /** Forgets everything, for another incarnation of the backend server. */
   readonly reset: () => void;
@@ -82,14 +82,14 @@
       return current;
     },
     recall: (remembered) => {
-      if (isFirstHand && current !== undefined) return current;
-      // Peers remember different times, so the strictest memory counts until
-      // the first answer.
       const before = current ?? EMPTY_NOTICE;
-      current = {
-        requestsPerS: strictest(before.requestsPerS, remembered.requestsPerS),
-        leaving: before.leaving || remembered.leaving,
-      };
+      // Peers remember different times, so the strictest rate counts until the
+      // first answer.
+      const requestsPerS = isFirstHand
+        ? before.requestsPerS
+        : strictest(before.requestsPerS, remembered.requestsPerS);
+      const leaving = before.leaving || remembered.leaving;
+      current = { requestsPerS, leaving };
       return current;
     },
     reset: () => {
