fix(feed): what the store writes after it came back goes before what it lost

In tests a confirmed configuration was never in force, a backend server got requests after its drain or removal, and one that was lost with the copy stayed listed. Cause: revisions were taken for the order of all writes. A store that comes back from a copy assigns them again: a watch from an earlier revision misses, without a 410, what was written up to it, and an entry that is known with a higher revision goes before its later writes, for readers and for nodes that hear of it from peers. Change: positions are ordered by the store's era first; an answer from another era than the one watched from leads to a list that is up to date, an answer of an earlier era is dropped and asked for again after the usual delay.

--- /dev/null
+++ b/packages/node/src/agent/__tests__/key_feed_test.ts
@@ -0,0 +1,137 @@
+import { createSystemClock, sleep } from "@coltsfootdeal/kernel";
+import { err, ok, type Result } from "neverthrow";
+import { afterEach, expect, test } from "vitest";
+import type { Feed, PlatformInstance } from "../feed.ts";
+import {
+  createKeyValueFeed,
+  orderOf,
+  type StoreChange,
+  type StoreError,
+  type StoreListQuery,
+  type StorePage,
+  type StorePosition,
+} from "../key_feed.ts";
+
+const BEFORE: StorePosition = { era: 1, revision: 90 };
+const RETURNED: StorePosition = { era: 2, revision: 40 };
+const MORE_RETURNED: StorePosition = { era: 2, revision: 120 };
+
+type Answer = Result<Partial<StorePage>, StoreError>;
+
+let feed: Feed;
+
+afterEach(() => feed.close());
+
+function entry(id: string, revision: number): StoreChange {
+  return {
+    kind: "instance",
+    instance: {
+      id,
+      service: "seals",
+      dataCentre: "east",
+      address: "10.0.0.1:1",
+      control: "10.0.0.1:2",
+      state: "live",
+      revision,
+    },
+  };
+}
+
+/** Runs a feed on scripted answers; the last watch of a script hangs. */
+function runFeed(script: readonly Answer[]) {
+  const queries: (StoreListQuery | { readonly after: number })[] = [];
+  const instances = new Map<string, PlatformInstance>();
+  const eras: number[] = [];
+  let next = 0;
+
+  async function answer(
+    query: StoreListQuery | { readonly after: number },
+    signal: AbortSignal,
+  ): Promise<Result<StorePage, StoreError>> {
+    queries.push(query);
+    const scripted = script[next++];
+    if (scripted === undefined) {
+      await sleep(createSystemClock(), 60_000, signal);
+      return err({ kind: "unreachable", reason: "end of script" });
+    }
+    return scripted.map((page) => ({
+      changes: [],
+      next: undefined,
+      position: BEFORE,
+      ...page,
+    }));
+  }
+
+  feed = createKeyValueFeed({
+    clock: createSystemClock(),
+    reader: { list: answer, watch: answer },
+    onValues: () => {},
+    onInstances: (changed) => {
+      for (const instance of changed) {
+        const known = instances.get(instance.id);
+        if (known !== undefined && known.revision >= instance.revision) {
+          continue;
+        }
+        instances.set(instance.id, instance);
+      }
+    },
+    onListed: () => {},
+    knownInstances: () =>
+      [...instances.values()].filter(({ state }) => state !== "gone"),
+    onReachabilityChange: () => {},
+    onEraChange: ({ era }) => eras.push(era),
+    onForeignEntry: () => {},
+  });
+  feed.start();
+  return { queries, instances, eras, isDone: () => next > script.length };
+}
+
+test("a watch that a later era answers is followed by a list that is up to date", async () => {
+  const { queries, instances, eras, isDone } = runFeed([
+    ok({ changes: [entry("i-1", 80)] }),
+    // No 410: the new era has assigned revision 90 already.
+    ok({ position: MORE_RETURNED, changes: [entry("i-2", 110)] }),
+    ok({
+      position: MORE_RETURNED,
+      changes: [entry("i-1", 35), entry("i-2", 110), entry("i-3", 60)],
+    }),
+  ]);
+  await expect.poll(isDone).toBe(true);
+  expect(queries[2]).toMatchObject({ allowsStale: false });
+  expect(queries[3]).toMatchObject({ after: MORE_RETURNED.revision });
+  expect([...instances.keys()].sort()).toEqual(["i-1", "i-2", "i-3"]);
+  expect(instances.get("i-1")?.revision)
+    .toBe(orderOf({ era: 2, revision: 35 }));
+  expect(eras).toEqual([2]);
+});
+
+test("an answer of an earlier era changes nothing and is asked for again", async () => {
+  const { queries, instances, isDone } = runFeed([
+    ok({ position: RETURNED, changes: [entry("i-1", 35)] }),
+    ok({ changes: [entry("i-1", 85)] }),
+    ok({ position: RETURNED }),
+  ]);
+  await expect.poll(isDone).toBe(true);
+  expect(instances.get("i-1")?.revision)
+    .toBe(orderOf({ era: 2, revision: 35 }));
+  expect(queries[2]).toMatchObject({ after: RETURNED.revision });
+});
+
+test("a list whose pages are of two eras begins again", async () => {
+  const { instances, queries, isDone } = runFeed([
+    ok({ changes: [entry("i-1", 80)], next: "servers/i-1" }),
+    ok({ position: RETURNED, changes: [entry("i-2", 20)] }),
+    ok({ position: RETURNED, changes: [entry("i-2", 20)] }),
+  ]);
+  await expect.poll(isDone).toBe(true);
+  expect(queries[2]).toMatchObject({ after: undefined, allowsStale: false });
+  expect(queries[3]).toMatchObject({ after: RETURNED.revision });
+  expect(instances.has("i-2")).toBe(true);
+});
+
+test("positions of a later era are later, whatever their revision", () => {
+  expect(orderOf(RETURNED)).toBeGreaterThan(orderOf(BEFORE));
+  expect(orderOf(MORE_RETURNED)).toBeGreaterThan(orderOf(RETURNED));
+  expect(Number.isSafeInteger(orderOf({ era: 4_095, revision: 2 ** 40 - 1 })))
+    .toBe(true);
+});
--- a/packages/node/src/agent/feed.ts
+++ b/packages/node/src/agent/feed.ts
@@ -11,6 +11,7 @@
 
 /** An entry of the instance list. */
 export interface PlatformInstance extends ListedInstance {
+  /** Orders the entries of one instance; the highest is the latest. */
   readonly revision: number;
 }
 
--- a/packages/node/src/agent/key_feed.ts
+++ b/packages/node/src/agent/key_feed.ts
@@ -5,7 +5,7 @@
  */
 
 import { type Clock, sleep, type Timer } from "@coltsfootdeal/kernel";
-import type { Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import {
   STORE_RETRY_MAX_MS,
   STORE_REWRITE_GRACE_MS,
@@ -38,6 +38,14 @@
   readonly revision: number;
 }
 
+/** Revisions that one era can assign, so that a position fits one number. */
+const REVISIONS_PER_ERA = 2 ** 40;
+
+/** Number that orders positions: those of a later era are later. */
+export function orderOf({ era, revision }: StorePosition): number {
+  return era * REVISIONS_PER_ERA + revision;
+}
+
 /** Changes of keys, and the position of the store that includes them. */
 export interface StoreChanges {
   readonly changes: readonly StoreChange[];
@@ -117,16 +125,18 @@
   const reachability = createReachability(config.onReachabilityChange);
 
   function observeEra({ era, revision }: StorePosition): void {
-    if (latestEra !== undefined && era !== latestEra) {
+    if (latestEra !== undefined && era > latestEra) {
       config.onEraChange({ before: latestEra, era, revision });
     }
-    latestEra = era;
+    latestEra = Math.max(latestEra ?? era, era);
   }
 
-  function remove(id: string, revision: number): void {
+  /** Removes an instance that was not written after the position. */
+  function remove(id: string, position: StorePosition): void {
+    const order = orderOf(position);
     const known = config.knownInstances().find((other) => other.id === id);
-    if (known === undefined || known.revision >= revision) return;
-    config.onInstances([{ ...known, state: "gone", revision }]);
+    if (known === undefined || known.revision >= order) return;
+    config.onInstances([{ ...known, state: "gone", revision: order }]);
   }
 
   function cancelRemoval(id: string): void {
@@ -134,7 +144,7 @@
     pendingRemovals.delete(id);
   }
 
-  function apply(changes: readonly StoreChange[]): void {
+  function apply({ changes, position: { era } }: StoreChanges): void {
     const values: PlatformValue[] = [];
     const instances: PlatformInstance[] = [];
     for (const change of changes) {
@@ -142,13 +152,16 @@
         case "value":
           values.push(change.value);
           break;
-        case "instance":
-          cancelRemoval(change.instance.id);
-          instances.push(change.instance);
+        case "instance": {
+          const { instance } = change;
+          const revision = orderOf({ era, revision: instance.revision });
+          cancelRemoval(instance.id);
+          instances.push({ ...instance, revision });
           break;
+        }
         case "removed":
           cancelRemoval(change.id);
-          remove(change.id, change.revision);
+          remove(change.id, { era, revision: change.revision });
           break;
         case "foreign":
           config.onForeignEntry(change.key, change.reason);
@@ -165,14 +178,14 @@
    */
   function scheduleRemovals(
     listed: ReadonlySet<string>,
-    revision: number,
+    position: StorePosition,
   ): void {
     for (const { id, revision: knownRevision } of config.knownInstances()) {
       if (listed.has(id) || pendingRemovals.has(id)) continue;
-      if (knownRevision >= revision) continue;
+      if (knownRevision >= orderOf(position)) continue;
       const timer = clock.after(STORE_REWRITE_GRACE_MS, () => {
         pendingRemovals.delete(id);
-        remove(id, revision);
+        remove(id, position);
       });
       pendingRemovals.set(id, timer);
     }
@@ -181,53 +194,75 @@
   async function list(
     signal: AbortSignal,
     allowsStale: boolean,
-  ): Promise<Result<number, StoreError>> {
+  ): Promise<Result<StorePosition, StoreError>> {
     const listed = new Set<string>();
-    let firstRevision: number | undefined;
+    let first: StorePosition | undefined;
     let after: string | undefined;
     for (;;) {
       const page = await reader.list({ after, allowsStale }, signal);
-      if (page.isErr()) return page.map(() => 0);
-      if (signal.aborted) return page.map(() => 0);
-      // Pages are not one snapshot, so the watch starts at the revision of the
+      if (page.isErr()) return err(page.error);
+      const { position, changes, next } = page.value;
+      // Pages are not one snapshot, so the watch starts at the position of the
       // first page: no change between two pages is missed.
-      firstRevision ??= page.value.position.revision;
-      observeEra(page.value.position);
-      for (const change of page.value.changes) {
+      first ??= position;
+      if (signal.aborted) return ok(first);
+      const eraError = compareEras(position, first);
+      if (eraError !== undefined) return err(eraError);
+      for (const change of changes) {
         if (change.kind === "instance") listed.add(change.instance.id);
       }
-      apply(page.value.changes);
-      after = page.value.next;
+      apply(page.value);
+      after = next;
       if (after === undefined) {
-        const revision = firstRevision;
-        scheduleRemovals(listed, revision);
+        scheduleRemovals(listed, first);
         config.onListed();
-        return page.map(() => revision);
+        return ok(first);
       }
     }
   }
 
+  /**
+   * Why the revisions of an answer can't follow those of `known`; undefined if
+   * they can. Once the store came back from a backup, it assigns revisions
+   * again, so a watch from an earlier era misses changes without notice.
+   */
+  function compareEras(
+    answer: StorePosition,
+    known: StorePosition,
+  ): StoreError | undefined {
+    observeEra(answer);
+    if (answer.era < (latestEra ?? 0)) {
+      return {
+        kind: "busy",
+        reason: `answer of the earlier era ${answer.era}`,
+      };
+    }
+    return answer.era === known.era ? undefined : { kind: "compacted" };
+  }
+
   async function run(signal: AbortSignal): Promise<void> {
-    let revision: number | undefined;
+    let position: StorePosition | undefined;
     // A list after a compaction must include what the lost history held.
     let allowsStaleList = true;
     let failures = 0;
     while (!signal.aborted) {
-      const result = revision === undefined
+      const result = position === undefined
         ? await list(signal, allowsStaleList)
-        : await watch(revision, signal);
+        : await watch(position, signal);
       if (signal.aborted) return;
       if (result.isOk()) {
         failures = 0;
         reachability.set(true, "answered");
-        revision = result.value;
+        position = result.value;
         continue;
       }
       if (result.error.kind === "compacted") {
-        revision = undefined;
+        position = undefined;
         allowsStaleList = false;
         continue;
       }
+      // A stale copy of the store may have answered.
+      allowsStaleList = allowsStaleList && latestEra === undefined;
       failures++;
       reachability.set(false, formatError(result.error));
       const delayMs = drawRetryDelay(failures - 1, STORE_RETRY_MAX_MS);
@@ -236,21 +271,23 @@
   }
 
   async function watch(
-    after: number,
+    after: StorePosition,
     signal: AbortSignal,
-  ): Promise<Result<number, StoreError>> {
+  ): Promise<Result<StorePosition, StoreError>> {
     // After an error the watch does not wait for a change, so that a store that
     // works again is noticed at once.
     const waitMs = reachability.get() ? drawWatchWait() : 0;
-    const result = await reader.watch({ after, waitMs }, signal);
-    if (result.isOk() && !signal.aborted) {
-      const { changes, position } = result.value;
-      observeEra(position);
-      apply(changes);
-      // The pause collects changes in quick succession into one request.
-      if (changes.length > 0) await sleep(clock, STORE_WATCH_PAUSE_MS, signal);
-    }
-    return result.map(({ position }) => position.revision);
+    const query = { after: after.revision, waitMs };
+    const result = await reader.watch(query, signal);
+    if (result.isErr()) return err(result.error);
+    const { changes, position } = result.value;
+    if (signal.aborted) return ok(position);
+    const eraError = compareEras(position, after);
+    if (eraError !== undefined) return err(eraError);
+    apply(result.value);
+    // The pause collects changes in quick succession into one request.
+    if (changes.length > 0) await sleep(clock, STORE_WATCH_PAUSE_MS, signal);
+    return ok(position);
   }
 
   return {
--- a/packages/standin/src/key_store.ts
+++ b/packages/standin/src/key_store.ts
@@ -66,6 +66,13 @@
   readonly remove: (key: string) => void;
   /** Discards the history; a watch from an earlier revision gets 410. */
   readonly compact: () => void;
+  /** Copies the present state. */
+  readonly backup: () => KeyValueBackup;
+  /**
+   * Goes back to a copied state, and so to its revision. What was written since
+   * is lost, and answers name the next era.
+   */
+  readonly restore: (backup: KeyValueBackup) => void;
   /** Range reads that allow stale data see no later state than the present. */
   readonly freezeStaleReads: () => void;
   /** Sets the mode of the first endpoint. */
@@ -77,7 +84,13 @@
   readonly close: () => Promise<void>;
 }
 
-interface Entry {
+/** The state of a store at one time. */
+export interface KeyValueBackup {
+  readonly items: ReadonlyMap<string, KeyValueEntry>;
+  readonly revision: number;
+}
+
+interface KeyValueEntry {
   readonly key: string;
   readonly revision: number;
   readonly created_revision?: number;
@@ -91,21 +104,22 @@
   options: KeyValueStoreOptions = {},
 ): Promise<KeyValueStore> {
   const pageItems = options.pageItems ?? 500;
-  const items = new Map<string, Entry>();
+  const items = new Map<string, KeyValueEntry>();
   let frozen: ReturnType<typeof current> | undefined;
   const watchers = new Set<() => void>();
   const endpoints: HttpServer[] = [];
-  let history: Entry[] = [];
+  let history: KeyValueEntry[] = [];
   let revision = 1;
   // The oldest revision that the history still holds.
   let minRevision = 1;
   let calls = 0;
+  let era = 1;
 
   function current() {
     return { items: new Map(items), revision };
   }
 
-  function appendEvent(entry: Entry): void {
+  function appendEvent(entry: KeyValueEntry): void {
     history.push(entry);
     for (const notify of [...watchers]) notify();
   }
@@ -118,6 +132,7 @@
     const text = JSON.stringify(body);
     response.writeHead(status, {
       "content-type": "application/json",
+      "store-era": String(era),
       "content-length": Buffer.byteLength(text),
     });
     response.end(text);
@@ -140,11 +155,12 @@
     const prefix = query.get("prefix") ?? "";
     const after = Number(query.get("after"));
     const waitMs = Math.min(30_000, Number(query.get("wait_ms")));
-    if (after + 1 < minRevision) return send(response, 410, {});
+    const isUnknown = () => after + 1 < minRevision || after > revision;
+    if (isUnknown()) return send(response, 410, {});
     const deadline = performance.now() + waitMs;
 
     function answerIfDue(): void {
-      if (after + 1 < minRevision) return finish(() => send(response, 410, {}));
+      if (isUnknown()) return finish(() => send(response, 410, {}));
       const events = history.filter((entry) =>
         entry.revision > after && entry.key.startsWith(prefix)
       );
@@ -246,7 +262,7 @@
       revision++;
       const created_revision = items.get(key)?.created_revision ?? revision;
       const bytes = Buffer.from(value as Uint8Array);
-      const entry: Entry = {
+      const entry: KeyValueEntry = {
         key,
         value: bytes.toString("base64"),
         revision,
@@ -267,6 +283,16 @@
       minRevision = revision + 1;
       for (const notify of [...watchers]) notify();
     },
+    backup: current,
+    restore: (backup) => {
+      items.clear();
+      for (const [key, item] of backup.items) items.set(key, item);
+      revision = backup.revision;
+      history = history.filter((event) => event.revision <= revision);
+      minRevision = Math.min(minRevision, revision + 1);
+      era++;
+      for (const notify of [...watchers]) notify();
+    },
     freezeStaleReads: () => {
       frozen = current();
     },
