fix(agent): one odd list entry holds back no news

An entry of another writer with a service name of 50,000 characters, an id of 192 or a start like 1e300 was passed on, and the peers refused the whole message that held it: a change of configuration and a drain reached nodes that hear only peers with the next comparison, 2 s later, or not from that reader at all. No entry ended a process.

--- a/packages/node/src/admin/audit.ts
+++ b/packages/node/src/admin/audit.ts
@@ -16,6 +16,7 @@
   | "instance_leaving"
   | "reader_started"
   | "reader_stopped"
+  | "news_malformed"
   | "platform_reachable"
   | "platform_unreachable"
   | "backend_died"
--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -481,6 +481,8 @@
       },
       differing: (buckets) => gossip.differing(buckets, clock.now()),
       pull,
+      onMalformedNews: (items, reason) =>
+        audit.record("news_malformed", { items, reason }),
     },
     membership,
     start: () => {
--- a/packages/node/src/agent/control_api.ts
+++ b/packages/node/src/agent/control_api.ts
@@ -40,18 +40,26 @@
   readonly differing: (buckets: readonly number[]) => readonly News[];
   /** Returns the values of topics; topics without a value are left out. */
   readonly pull: (topics: readonly string[]) => readonly PulledValue[];
+  /** Called with the number of items of a message that were left out. */
+  readonly onMalformedNews: (items: number, reason: string) => void;
 }
 
+/** Longest topic; holds the longest key of a platform with its prefix. */
+const TOPIC_MAX_LENGTH = 256;
+/** Longest value; holds a death of some 1,800 runs. */
+const VALUE_MAX_LENGTH = 65_536;
+
 const NEWS_SCHEMA = z.object({
-  topic: z.string().max(200),
+  topic: z.string().max(TOPIC_MAX_LENGTH),
   version: z.number().int().nonnegative(),
   digest: z.string().max(128),
-  value: z.string().max(8_192).optional(),
+  value: z.string().max(VALUE_MAX_LENGTH).optional(),
   source: z.string().max(64).optional(),
   lifeMs: z.number().optional(),
 });
 
-const NEWS_LIST_SCHEMA = z.array(NEWS_SCHEMA).max(4_096);
+/** Items are checked one by one, so that one of them holds back no others. */
+const NEWS_LIST_SCHEMA = z.array(z.unknown()).max(4_096);
 
 const trpc = initTRPC.create();
 
@@ -68,15 +76,32 @@
   };
 }
 
+function formatIssue({ issues: [issue] }: z.ZodError): string {
+  return `${issue?.path.join(".")}: ${issue?.message}`;
+}
+
 /** Creates the routes of the control listener. */
 export function createControlRouter(handler: ControlHandler) {
+  function readNews(items: readonly unknown[]): readonly News[] {
+    const news: News[] = [];
+    let reason = "";
+    for (const item of items) {
+      const parsed = NEWS_SCHEMA.safeParse(item);
+      if (parsed.success) news.push(omitUndefined(parsed.data));
+      else reason = formatIssue(parsed.error);
+    }
+    const malformed = items.length - news.length;
+    if (malformed > 0) handler.onMalformedNews(malformed, reason);
+    return news;
+  }
+
   return trpc.router({
     identity: trpc.procedure.query(() => handler.identity()),
     push: trpc.procedure.input(NEWS_LIST_SCHEMA).mutation(({ input }) => {
-      handler.push(input.map(omitUndefined));
+      handler.push(readNews(input));
     }),
     inform: trpc.procedure.input(NEWS_LIST_SCHEMA).mutation(({ input }) => {
-      handler.inform(input.map(omitUndefined));
+      handler.inform(readNews(input));
     }),
     compare: trpc.procedure
       .input(z.object({
@@ -87,7 +112,7 @@
       .mutation(({ input: { settled, recent, readerAgeMs } }) =>
         handler.compare({
           settled,
-          recent: recent.map(omitUndefined),
+          recent: readNews(recent),
           ...(readerAgeMs === undefined ? {} : { readerAgeMs }),
         })
       ),
