fix(agent): one odd item holds back no others of the native platform

Cause: an answer was checked as one value, and addresses were not checked at all. Change: items are checked one by one; what is left out is logged (platform.malformed_item).

--- a/packages/node/src/agent/platform_client.ts
+++ b/packages/node/src/agent/platform_client.ts
@@ -3,7 +3,7 @@
 import { err, ok, type Result } from "neverthrow";
 import * as z from "zod";
 import type { HttpClient } from "../http_client.ts";
-import { type Address, formatAddress } from "../settings.ts";
+import { type Address, formatAddress, parseAddress } from "../settings.ts";
 import type { PlatformInstance, PlatformValue } from "./feed.ts";
 
 /** Items that changed after a revision, and the new revision. */
@@ -35,26 +35,34 @@
   ) => Promise<Result<PlatformChanges<PlatformInstance>, PlatformError>>;
 }
 
-const VALUES_SCHEMA = z.object({
+/** Items are checked one by one, so that one of them holds back no others. */
+const CHANGES_SCHEMA = z.object({
   revision: z.number(),
-  items: z.array(z.object({
-    key: z.string(),
-    revision: z.number(),
-    value: z.string(),
-  })),
+  items: z.array(z.unknown()),
 });
 
-const INSTANCES_SCHEMA = z.object({
+const VALUE_SCHEMA = z.object({
+  key: z.string(),
   revision: z.number(),
-  items: z.array(z.object({
-    id: z.string(),
-    service: z.string(),
-    dataCentre: z.string(),
-    address: z.string(),
-    control: z.string(),
-    state: z.enum(["live", "leaving", "gone"]),
-    revision: z.number(),
-  })),
+  value: z.string(),
+});
+
+const PORT_MAX = 65_535;
+
+/** Whether a text is `HOST:PORT` with a port that can be connected to. */
+function isAddress(text: string): boolean {
+  const { host, port } = parseAddress(text);
+  return host !== "" && Number.isInteger(port) && port >= 1 && port <= PORT_MAX;
+}
+
+const INSTANCE_SCHEMA = z.object({
+  id: z.string(),
+  service: z.string(),
+  dataCentre: z.string(),
+  address: z.string().refine(isAddress, "HOST:PORT"),
+  control: z.string().refine(isAddress, "HOST:PORT"),
+  state: z.enum(["live", "leaving", "gone"]),
+  revision: z.int().nonnegative(),
 });
 
 function parseJson(text: string): unknown {
@@ -72,22 +80,43 @@
 export function createPlatformClient(
   address: Address,
   client: HttpClient,
+  options: {
+    /** Called with each item that is left out because it is not valid. */
+    readonly onMalformedItem: (reason: string) => void;
+  },
 ): PlatformClient {
   const origin = `http://${formatAddress(address)}`;
 
+  function readItems<Schema extends z.ZodType>(
+    items: readonly unknown[],
+    schema: Schema,
+  ): readonly z.output<Schema>[] {
+    return items.flatMap((item) => {
+      const parsed = schema.safeParse(item);
+      if (parsed.success) return [parsed.data];
+      const [issue] = parsed.error.issues;
+      options.onMalformedItem(`${issue?.path.join(".")}: ${issue?.message}`);
+      return [];
+    });
+  }
+
   async function get<Schema extends z.ZodType>(
     path: string,
-    schema: Schema,
+    itemSchema: Schema,
     options: { readonly signal: AbortSignal; readonly timeoutMs: number },
-  ): Promise<Result<z.output<Schema>, PlatformError>> {
+  ): Promise<Result<PlatformChanges<z.output<Schema>>, PlatformError>> {
     const timeout = AbortSignal.timeout(options.timeoutMs);
     const signal = AbortSignal.any([options.signal, timeout]);
     const end = await client.send({ origin, path, method: "GET", signal });
     if (end.kind !== "response" || end.status !== 200) {
       return err("unreachable");
     }
-    const parsed = schema.safeParse(parseJson(end.body.toString("utf8")));
-    return parsed.success ? ok(parsed.data) : err("malformed");
+    const parsed = CHANGES_SCHEMA.safeParse(
+      parseJson(end.body.toString("utf8")),
+    );
+    if (!parsed.success) return err("malformed");
+    const { revision, items } = parsed.data;
+    return ok({ revision, items: readItems(items, itemSchema) });
   }
 
   function query({ after, waitMs }: WatchQuery): string {
@@ -96,12 +125,12 @@
 
   return {
     values: (watch, signal) =>
-      get(`/v1/values?prefix=bundles/&${query(watch)}`, VALUES_SCHEMA, {
+      get(`/v1/values?prefix=bundles/&${query(watch)}`, VALUE_SCHEMA, {
         signal,
         timeoutMs: watch.waitMs + REPLY_GRACE_MS,
       }),
     instances: (watch, signal) =>
-      get(`/v1/instances?${query(watch)}`, INSTANCES_SCHEMA, {
+      get(`/v1/instances?${query(watch)}`, INSTANCE_SCHEMA, {
         signal,
         timeoutMs: watch.waitMs + REPLY_GRACE_MS,
       }),
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -82,7 +82,7 @@
   settings: Settings,
   options: NodeOptions,
 ): Promise<Result<Node, ListenError>> {
-  const adapter = createNativeAdapter(settings, options.clock);
+  const adapter = createNativeAdapter(settings, options);
   return startNodeWithAdapter(adapter, settings, options);
 }
 
--- a/packages/node/src/own_ports.ts
+++ b/packages/node/src/own_ports.ts
@@ -8,6 +8,7 @@
 import { createPlatformClient } from "./agent/platform_client.ts";
 import { createPlatformWatch } from "./agent/platform_watch.ts";
 import { createBackendServer } from "./gate/backend_server.ts";
+import type { Log } from "./log.ts";
 import type { PlatformAdapter } from "./ports.ts";
 import type { Settings } from "./settings.ts";
 
@@ -18,8 +19,9 @@
  */
 export function createNativeAdapter(
   settings: Settings,
-  clock: Clock,
+  options: { readonly clock: Clock; readonly log: Log },
 ): PlatformAdapter {
+  const { clock, log } = options;
   return {
     openBundle: (text) =>
       verifyEnvelope(text, settings.trust).mapErr(formatEnvelopeError),
@@ -29,7 +31,10 @@
       createPlatformWatch({
         ...sinks,
         clock,
-        platform: createPlatformClient(settings.platform, client),
+        platform: createPlatformClient(settings.platform, client, {
+          onMalformedItem: (reason) =>
+            log.warn("platform.malformed_item", { reason }),
+        }),
       }),
     // Returns a client; the backend server is a process of its own.
     createBackend: (client) => createBackendServer(settings.backend, client),
