fix(node): what a stopping node has taken gets an answer before it ends

Change: calls that a stopping node still takes get no more time than it has left, so their backend servers answer in time; what is in flight at the end is given up with an answer, a true 'not run' where the gate confirms it and 502 or 504 otherwise. An own gate that doesn't reply to a cancellation is waited for as long as another's. The drain uses one grace period throughout, the reloaded one.

--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -124,6 +124,13 @@
  * before the process is killed.
  */
 export const DRAIN_MAX_SHARE = 0.88;
+/**
+ * Time before a draining node stops waiting at which the deadlines of calls end
+ * that it still takes, so that each is answered before its connection closes.
+ */
+export const DRAIN_ANSWER_MARGIN_MS = 200;
+/** Time to write the answers of calls that a draining node gives up. */
+export const DRAIN_FLUSH_MS = 150;
 /**
  * Share of the fleet's retry bounds for direct retries: attempts that an
  * ingress sends again. The rest is left for indirect ones: nested calls that a
--- a/packages/node/src/edge/plain_listener.ts
+++ b/packages/node/src/edge/plain_listener.ts
@@ -46,6 +46,11 @@
   readonly leaving: () => boolean;
   /** Whether the node will stop before it could answer new calls. */
   readonly refusesNewCalls: () => boolean;
+  /**
+   * Time by which new calls must have ended, as this node stops; undefined
+   * while it does not.
+   */
+  readonly latestDeadlineAt: () => number | undefined;
   readonly onFinished: (finished: FinishedRequest) => void;
   /** Called for an invalid request, with an empty id if it can't be decoded. */
   readonly onFault: (requestId: string, fault: IncomingRequestFault) => void;
@@ -140,9 +145,11 @@
     if (target === undefined) return undefined;
     const kind = options.catalog.kind(target.service, route.kind);
     if (kind === undefined) return undefined;
+    const latestAt = config.latestDeadlineAt() ?? Infinity;
     const deadlineMs = Math.min(
       request.deadlineMs ?? kind.deadlineMs,
       kind.deadlineMs,
+      Math.max(0, latestAt - clock.now()),
     );
     return { request, kind, deadlineMs };
   }
--- a/packages/node/src/ingress/forwarder.ts
+++ b/packages/node/src/ingress/forwarder.ts
@@ -2,7 +2,8 @@
 
 import type { Clock } from "@coltsfootdeal/kernel";
 import type { AttemptEnd, BackendReport, Outcome } from "@coltsfootdeal/policy";
-import type { Gate, GateCall } from "../gate/gate.ts";
+import { LINK_CANCEL_TIMEOUT_MS } from "../constants.ts";
+import type { Gate, GateCall, GateReply } from "../gate/gate.ts";
 import type { LinkClient, LinkResult } from "../link/link_client.ts";
 import type { ReplyMessage } from "../link/messages.ts";
 import type { AttemptRequest, AttemptResult } from "./ingress.ts";
@@ -79,6 +80,25 @@
     };
   }
 
+  /**
+   * Waits for the own gate's reply; undefined if the signal was aborted and no
+   * reply followed in time, as on a link to another gate.
+   */
+  function waitForReply(
+    reply: Promise<GateReply>,
+    signal: AbortSignal,
+  ): Promise<GateReply | undefined> {
+    return new Promise((resolve) => {
+      const giveUp = () =>
+        clock.after(LINK_CANCEL_TIMEOUT_MS, () => resolve(undefined));
+      signal.addEventListener("abort", giveUp, { once: true });
+      reply.then((received) => {
+        signal.removeEventListener("abort", giveUp);
+        resolve(received);
+      });
+    });
+  }
+
   async function sendToOwnGate(
     attempt: AttemptRequest,
   ): Promise<AttemptResult> {
@@ -89,7 +109,14 @@
       return { end, answer: undefined, report: undefined, death: undefined };
     }
     const call = { ...toGateCall(attempt), deadlineAt: attempt.deadlineAt };
-    const reply = await gate.submit(call, attempt.signal);
+    const reply = await waitForReply(
+      gate.submit(call, attempt.signal),
+      attempt.signal,
+    );
+    if (reply === undefined) {
+      const end: AttemptEnd = { kind: "unknown", reason: "cancelled" };
+      return { end, answer: undefined, report: undefined, death: undefined };
+    }
     const { slotMs, usualMs, makesNestedCalls: nested } = reply;
     const stated = gate.report();
     if (stated !== undefined) config.onBackendReport(stated);
--- a/packages/node/src/ingress/ingress.ts
+++ b/packages/node/src/ingress/ingress.ts
@@ -98,6 +98,8 @@
 /** Resolves each call to a complete answer, or to an outcome without one. */
 export interface Ingress {
   readonly handle: (buffered: BufferedRequest) => Promise<Answer>;
+  /** Ends all calls in flight, as a refusal or with an unknown outcome. */
+  readonly abortAll: () => void;
   /** Number of calls that have not been answered yet. */
   readonly inFlight: () => number;
 }
@@ -162,7 +164,7 @@
     ? undefined
     : createParentInference(runRegistry);
   let createdCalls = 0;
-  let inFlightCalls = 0;
+  const inFlight = new Set<AbortController>();
 
   function decisionContext(): DecisionContext {
     return { now: clock.now(), random: Math.random };
@@ -358,7 +360,7 @@
     const detach = context.parentRunId === undefined
       ? () => {}
       : runRegistry.addNestedCall(context.parentRunId, cancel);
-    inFlightCalls++;
+    inFlight.add(abort);
     try {
       const call = createCall(buffered, context);
       const { signal } = abort;
@@ -380,12 +382,18 @@
       }
       return answer;
     } finally {
-      inFlightCalls--;
+      inFlight.delete(abort);
       detach();
       timer.close();
       buffered.signal.removeEventListener("abort", cancel);
     }
   }
 
-  return { handle, inFlight: () => inFlightCalls };
+  return {
+    handle,
+    abortAll: () => {
+      for (const abort of inFlight) abort.abort();
+    },
+    inFlight: () => inFlight.size,
+  };
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -37,7 +37,13 @@
 import { createControlRouter } from "./agent/control_api.ts";
 import { createControlClient } from "./agent/control_client.ts";
 import { createRunRegistry } from "./chains.ts";
-import { HEALTH_CHECK_PERIOD_MS, HOUSEKEEPING_PERIOD_MS } from "./constants.ts";
+import {
+  DRAIN_ANSWER_MARGIN_MS,
+  DRAIN_FLUSH_MS,
+  DRAIN_MAX_SHARE,
+  HEALTH_CHECK_PERIOD_MS,
+  HOUSEKEEPING_PERIOD_MS,
+} from "./constants.ts";
 import { createDecisionLog } from "./decision_log.ts";
 import { drainUntilIdle } from "./drain.ts";
 import {
@@ -115,6 +121,7 @@
   const decisionLog = createDecisionLog(log, clock);
   let leaving = false;
   let refusesNewCalls = false;
+  let latestDeadlineAt: number | undefined;
   let isReadyRecorded = false;
 
   const gate = createGate({
@@ -326,6 +333,7 @@
       ingress,
       leaving: () => leaving,
       refusesNewCalls: () => refusesNewCalls,
+      latestDeadlineAt: () => latestDeadlineAt,
       onFinished: recordFinished,
       onFault: (requestId, { status, message }) =>
         decisionLog.record("request.invalid", { requestId, status, message }),
@@ -377,6 +385,12 @@
     await startLeaving();
   }
 
+  /** Answers the calls in flight, whose connections are about to close. */
+  async function giveUpCalls(): Promise<void> {
+    ingress.abortAll();
+    await new Promise<void>((resolve) => clock.after(DRAIN_FLUSH_MS, resolve));
+  }
+
   async function closeAtOnce(): Promise<void> {
     for (const listener of listeners) listener.destroy();
     await kernel.close();
@@ -429,22 +443,30 @@
     knownInstanceCount: () => agent.status().instances,
     drain: async () => {
       audit.record("draining");
+      const { graceMs } = reloadable;
+      if (graceMs !== undefined) {
+        latestDeadlineAt = clock.now() + graceMs * DRAIN_MAX_SHARE -
+          DRAIN_ANSWER_MARGIN_MS;
+      }
       // Not awaited yet: peers that do not answer must not use up the grace
       // period.
       const announcement = startLeaving();
       await drainUntilIdle({
         clock,
-        graceMs: reloadable.graceMs,
+        graceMs,
         listenMs: options.drainListenMs,
         isBusy: () => !gate.isIdle() || ingress.inFlight() > 0,
         onListenTimeElapsed: () => {
           refusesNewCalls = true;
         },
       });
-      if (settings.graceMs === undefined) await announcement;
+      if (graceMs === undefined) await announcement;
       const inFlight = ingress.inFlight();
       audit.record("drained", { inFlight });
-      if (settings.graceMs !== undefined) return await closeAtOnce();
+      if (graceMs !== undefined) {
+        if (inFlight > 0) await giveUpCalls();
+        return await closeAtOnce();
+      }
       await data.close();
       await kernel.close();
       await backendClient.close();
