fix(kernel): a wait leaves no listener on its signal

A signal that was aborted before did not end the wait (60 s in the test). Change: the listener is removed when the wait ends; an aborted signal ends it at once.

--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -31,20 +31,23 @@
   };
 }
 
-/**
- * Resolves after `delayMs`, or as soon as the signal is aborted during the wait.
- * A signal that is already aborted has no effect.
- */
+/** Resolves after `delayMs`, or as soon as the signal is aborted. */
 export function sleep(
   clock: Clock,
   delayMs: number,
   signal: AbortSignal,
 ): Promise<void> {
   return new Promise((resolve) => {
-    const timer = clock.after(delayMs, resolve);
-    signal.addEventListener("abort", () => {
+    if (signal.aborted) return resolve();
+    const timer = clock.after(delayMs, finish);
+
+    function finish(): void {
       timer.close();
+      // A signal may outlive many waits.
+      signal.removeEventListener("abort", finish);
       resolve();
-    }, { once: true });
+    }
+
+    signal.addEventListener("abort", finish, { once: true });
   });
 }
