fix(agent): a node that was held up does not take its readers for silent

Cause: a standby whose own process stood still finds that its probes timed out, though the replies wait to be read, and takes over from readers that are well. Evidence: the event loop of the test held up three times for 1.5 s: 6 readers in place of 4, calls 12 to 16; platform_reader_test.ts red before.

--- a/packages/node/src/agent/platform_reader.ts
+++ b/packages/node/src/agent/platform_reader.ts
@@ -7,9 +7,11 @@
 import {
   createReaderSelection,
   type ListedInstance,
+  PAUSE_GAP_MIN_MS,
 } from "@coltsfootdeal/policy";
 import type { Audit } from "../admin/audit.ts";
 import {
+  CONTROL_TIMEOUT_MS,
   READER_CHECK_PERIOD_MS,
   READER_PROBE_PERIOD_MS,
 } from "../constants.ts";
@@ -92,7 +94,11 @@
   }
 
   async function probeReader(member: ListedInstance): Promise<void> {
+    const probedAt = clock.now();
     const reply = await control.identity(member.control);
+    // A process that was held up has not read a reply that may be there.
+    const overdueMs = clock.now() - probedAt - CONTROL_TIMEOUT_MS;
+    if (reply.isErr() && overdueMs >= PAUSE_GAP_MIN_MS) return;
     const reads = reply.isOk() && reply.value.readsPlatform;
     if (reads) readers.recordContact(0, clock.now());
     readers.recordProbe(member.id, reads, clock.now());
