fix(feed): the native platform interface may come back from a backup too

An instance list that went back to earlier revisions was read from there, but its entries counted as old wherever a higher revision was known. Change: answers may state an era (absent: 0); another era is read from the start and goes before what is known; an answer of an earlier one is dropped.

--- a/packages/node/src/agent/__tests__/key_feed_test.ts
+++ b/packages/node/src/agent/__tests__/key_feed_test.ts
@@ -4,17 +4,16 @@
 import type { Feed, PlatformInstance } from "../feed.ts";
 import {
   createKeyValueFeed,
-  orderOf,
   type StoreChange,
   type StoreError,
   type StoreListQuery,
   type StorePage,
-  type StorePosition,
 } from "../key_feed.ts";
+import { orderOf, type Position } from "../position.ts";
 
-const BEFORE: StorePosition = { era: 1, revision: 90 };
-const RETURNED: StorePosition = { era: 2, revision: 40 };
-const MORE_RETURNED: StorePosition = { era: 2, revision: 120 };
+const BEFORE: Position = { era: 1, revision: 90 };
+const RETURNED: Position = { era: 2, revision: 40 };
+const MORE_RETURNED: Position = { era: 2, revision: 120 };
 
 type Answer = Result<Partial<StorePage>, StoreError>;
 
--- a/packages/node/src/agent/key_feed.ts
+++ b/packages/node/src/agent/key_feed.ts
@@ -19,6 +19,7 @@
   PlatformValue,
 } from "./feed.ts";
 import { createReachability, drawRetryDelay } from "./feed_state.ts";
+import { orderOf, type Position } from "./position.ts";
 
 /** Change of one key of the store. */
 export type StoreChange =
@@ -28,28 +29,10 @@
   /** A value that cannot be decoded or that another application wrote. */
   | { readonly kind: "foreign"; readonly key: string; readonly reason: string };
 
-/** A point in the store's history. */
-export interface StorePosition {
-  /**
-   * Number of times that the store came back from a backup. Within an era,
-   * revisions only increase; a later one may assign revisions again.
-   */
-  readonly era: number;
-  readonly revision: number;
-}
-
-/** Revisions that one era can assign, so that a position fits one number. */
-const REVISIONS_PER_ERA = 2 ** 40;
-
-/** Number that orders positions: those of a later era are later. */
-export function orderOf({ era, revision }: StorePosition): number {
-  return era * REVISIONS_PER_ERA + revision;
-}
-
 /** Changes of keys, and the position of the store that includes them. */
 export interface StoreChanges {
   readonly changes: readonly StoreChange[];
-  readonly position: StorePosition;
+  readonly position: Position;
 }
 
 /** A page of a list. */
@@ -96,7 +79,7 @@
   readonly reader: StoreReader;
   /** Called when the store answers from another era than before. */
   readonly onEraChange: (
-    change: StorePosition & { readonly before: number },
+    change: Position & { readonly before: number },
   ) => void;
   /** Called with each entry that is skipped because it cannot be used. */
   readonly onForeignEntry: (key: string, reason: string) => void;
@@ -124,7 +107,7 @@
   let latestEra: number | undefined;
   const reachability = createReachability(config.onReachabilityChange);
 
-  function observeEra({ era, revision }: StorePosition): void {
+  function observeEra({ era, revision }: Position): void {
     if (latestEra !== undefined && era > latestEra) {
       config.onEraChange({ before: latestEra, era, revision });
     }
@@ -132,7 +115,7 @@
   }
 
   /** Removes an instance that was not written after the position. */
-  function remove(id: string, position: StorePosition): void {
+  function remove(id: string, position: Position): void {
     const order = orderOf(position);
     const known = config.knownInstances().find((other) => other.id === id);
     if (known === undefined || known.revision >= order) return;
@@ -178,7 +161,7 @@
    */
   function scheduleRemovals(
     listed: ReadonlySet<string>,
-    position: StorePosition,
+    position: Position,
   ): void {
     for (const { id, revision: knownRevision } of config.knownInstances()) {
       if (listed.has(id) || pendingRemovals.has(id)) continue;
@@ -194,9 +177,9 @@
   async function list(
     signal: AbortSignal,
     allowsStale: boolean,
-  ): Promise<Result<StorePosition, StoreError>> {
+  ): Promise<Result<Position, StoreError>> {
     const listed = new Set<string>();
-    let first: StorePosition | undefined;
+    let first: Position | undefined;
     let after: string | undefined;
     for (;;) {
       const page = await reader.list({ after, allowsStale }, signal);
@@ -227,8 +210,8 @@
    * again, so a watch from an earlier era misses changes without notice.
    */
   function compareEras(
-    answer: StorePosition,
-    known: StorePosition,
+    answer: Position,
+    known: Position,
   ): StoreError | undefined {
     observeEra(answer);
     if (answer.era < (latestEra ?? 0)) {
@@ -241,7 +224,7 @@
   }
 
   async function run(signal: AbortSignal): Promise<void> {
-    let position: StorePosition | undefined;
+    let position: Position | undefined;
     // A list after a compaction must include what the lost history held.
     let allowsStaleList = true;
     let failures = 0;
@@ -271,9 +254,9 @@
   }
 
   async function watch(
-    after: StorePosition,
+    after: Position,
     signal: AbortSignal,
-  ): Promise<Result<StorePosition, StoreError>> {
+  ): Promise<Result<Position, StoreError>> {
     // After an error the watch does not wait for a change, so that a store that
     // works again is noticed at once.
     const waitMs = reachability.get() ? drawWatchWait() : 0;
--- a/packages/node/src/agent/platform_client.ts
+++ b/packages/node/src/agent/platform_client.ts
@@ -5,10 +5,11 @@
 import type { HttpClient } from "../http_client.ts";
 import { type Address, formatAddress, parseAddress } from "../settings.ts";
 import type { PlatformInstance, PlatformValue } from "./feed.ts";
+import type { Position } from "./position.ts";
 
-/** Items that changed after a revision, and the new revision. */
+/** Items that changed after a revision, and the new position. */
 export interface PlatformChanges<Item> {
-  readonly revision: number;
+  readonly position: Position;
   readonly items: readonly Item[];
 }
 
@@ -37,7 +38,9 @@
 
 /** Items are checked one by one, so that one of them holds back no others. */
 const CHANGES_SCHEMA = z.object({
-  revision: z.number(),
+  // Absent on a platform that never came back from a backup.
+  era: z.int().nonnegative().default(0),
+  revision: z.int().nonnegative(),
   items: z.array(z.unknown()),
 });
 
@@ -115,8 +118,11 @@
       parseJson(end.body.toString("utf8")),
     );
     if (!parsed.success) return err("malformed");
-    const { revision, items } = parsed.data;
-    return ok({ revision, items: readItems(items, itemSchema) });
+    const { era, revision, items } = parsed.data;
+    return ok({
+      position: { era, revision },
+      items: readItems(items, itemSchema),
+    });
   }
 
   function query({ after, waitMs }: WatchQuery): string {
--- a/packages/node/src/agent/platform_watch.ts
+++ b/packages/node/src/agent/platform_watch.ts
@@ -5,6 +5,7 @@
 import { PLATFORM_RETRY_MAX_MS, PLATFORM_WATCH_WAIT_MS } from "../constants.ts";
 import type { Feed, FeedSinks } from "./feed.ts";
 import { createReachability, drawRetryDelay } from "./feed_state.ts";
+import { orderOf, type Position } from "./position.ts";
 import type {
   PlatformChanges,
   PlatformClient,
@@ -23,6 +24,17 @@
   signal: AbortSignal,
 ) => Promise<Result<PlatformChanges<Item>, PlatformError>>;
 
+/** Replaces the items' revisions by numbers that order them across eras. */
+function orderItems<Item extends { readonly revision: number }>(
+  items: readonly Item[],
+  { era }: Position,
+): readonly Item[] {
+  return items.map((item) => ({
+    ...item,
+    revision: orderOf({ era, revision: item.revision }),
+  }));
+}
+
 /** Creates a feed that has not started. */
 export function createPlatformWatch(
   config: PlatformWatchConfig,
@@ -32,43 +44,59 @@
   let abort: AbortController | undefined;
   const reachability = createReachability(config.onReachabilityChange);
 
-  async function followChanges<Item>(
+  /**
+   * Reads changes after the last known revision. Revisions of another era are
+   * not comparable, so everything is read again then.
+   */
+  async function followChanges<Item extends { readonly revision: number }>(
     read: Read<Item>,
     onItems: (items: readonly Item[]) => void,
     options: { readonly signal: AbortSignal },
   ): Promise<void> {
     const { signal } = options;
-    let after = 0;
+    let known: Position | undefined;
     let failures = 0;
+
+    async function fail(reason: string): Promise<void> {
+      failures++;
+      reachability.set(false, reason);
+      const delayMs = drawRetryDelay(failures, PLATFORM_RETRY_MAX_MS);
+      await sleep(clock, delayMs, signal);
+    }
+
     while (!signal.aborted) {
+      const after = known?.revision ?? 0;
       // The first read after an error does not wait for a change, so that a
       // platform that returned to an older revision is noticed at once.
       const waitMs = after === 0 || failures > 0 ? 0 : PLATFORM_WATCH_WAIT_MS;
       const result = await read({ after, waitMs }, signal);
       if (signal.aborted) return;
       if (result.isErr()) {
-        failures++;
-        reachability.set(false, result.error);
-        const delayMs = drawRetryDelay(failures, PLATFORM_RETRY_MAX_MS);
-        await sleep(clock, delayMs, signal);
+        await fail(result.error);
+        continue;
+      }
+      const { position, items } = result.value;
+      if (known !== undefined && position.era < known.era) {
+        await fail(`answer of the earlier era ${position.era}`);
         continue;
       }
       failures = 0;
       reachability.set(true, "answered");
-      after = result.value.revision;
-      if (result.value.items.length > 0) onItems(result.value.items);
+      const isSameEra = known === undefined || known.era === position.era;
+      known = isSameEra ? position : { era: position.era, revision: 0 };
+      if (isSameEra && items.length > 0) onItems(orderItems(items, position));
     }
   }
 
-  async function readOnce<Item>(
+  async function readOnce<Item extends { readonly revision: number }>(
     read: Read<Item>,
     onItems: (items: readonly Item[]) => void,
   ): Promise<void> {
     const result = await read({ after: 0, waitMs: 0 }, closing.signal);
     if (closing.signal.aborted) return;
-    result.match(({ items }) => {
+    result.match(({ position, items }) => {
       reachability.set(true, "answered");
-      if (items.length > 0) onItems(items);
+      if (items.length > 0) onItems(orderItems(items, position));
     }, (error) => reachability.set(false, error));
   }
 
