feat(playground): a soak of the real program under random faults

Real nodes as processes, faults from outside them by a seeded plan: signals, pauses, restarts in series, outages of the store for some or all machines, a store that comes back from a copy, rates and leavings that backend servers state, replaced, crashing and garbling backend servers, changes of the configuration.

--- a/packages/standin/src/mesh_backend.ts
+++ b/packages/standin/src/mesh_backend.ts
@@ -95,14 +95,22 @@
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
 }
 
+/** A request that reached the backend server, whether it was run or refused. */
+export interface MeshArrival {
+  readonly requestId: string;
+  /** Id of the backend server at that time. */
+  readonly backend: string;
+  /** Time of arrival, in ms. */
+  readonly at: number;
+}
+
 /** A backend server under the control of a test. */
 export interface MeshBackend {
   readonly address: string;
   readonly runs: () => readonly MeshRun[];
   /** Requests that were refused without being run. */
   readonly refused: () => number;
-  /** Times at which requests arrived, refused ones too, in ms. */
-  readonly arrivals: () => readonly number[];
+  readonly arrivals: () => readonly MeshArrival[];
   /** Runs whose connection closed before they ended. */
   readonly cancelled: () => number;
   /** Highest number of requests that ran concurrently. */
@@ -133,7 +141,7 @@
 ): Promise<MeshBackend> {
   const agent = new Agent({ keepAlive: true });
   const runs: MeshRun[] = [];
-  const arrivals: number[] = [];
+  const arrivals: MeshArrival[] = [];
   let statement: Readonly<Record<string, string>> = {};
   const slotWaiters: (() => void)[] = [];
   const faults: MeshFault[] = [];
@@ -263,7 +271,8 @@
     if (incoming.url === "/health") {
       return send(response, 200, { "x-instance-id": id });
     }
-    arrivals.push(receivedAt);
+    const requestId = firstValue(headers["x-request-id"]);
+    arrivals.push({ requestId, backend: id, at: receivedAt });
     const expected = firstValue(headers["x-expected-instance"]);
     if (expected !== "" && expected !== id) {
       counts.refused++;
@@ -285,7 +294,7 @@
     if (isFull) return shed(response);
     await acquireSlot();
     const run: MeshRun = {
-      requestId: firstValue(headers["x-request-id"]),
+      requestId,
       method: incoming.method ?? "",
       path: incoming.url ?? "",
       body,
--- a/playground/src/platform_fleet.ts
+++ b/playground/src/platform_fleet.ts
@@ -6,7 +6,7 @@
 
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, open, rm, writeFile } from "node:fs/promises";
 import { request } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -17,6 +17,7 @@
   formatMeshInstanceEntry,
   formatMeshSettings,
   type KeyValueStore,
+  type KeyValueStoreEndpoint,
   MESH_HOST,
   type MeshBackend,
   type MeshPorts,
@@ -62,6 +63,8 @@
   readonly id: string;
   readonly service: string;
   readonly backend: MeshBackend;
+  /** Where this node reaches the store. */
+  readonly storeEndpoint: KeyValueStoreEndpoint;
   /** Where the node takes plain HTTP requests of callers. */
   readonly callers: { readonly host: string; readonly port: number };
   /** The current process; `start` replaces it. */
@@ -72,9 +75,14 @@
    */
   readonly start: () => Promise<number>;
   /** Writes the backend server's entry to the store. */
-  readonly register: (state: "ready" | "draining") => void;
-  /** Removes the backend server's entry from the store. */
+  readonly register: (
+    state: "ready" | "draining",
+    options?: { readonly id: string; readonly born: number },
+  ) => void;
+  /** Removes the entry of the backend server's first id from the store. */
   readonly unregister: () => void;
+  /** Closes the file of the process's log, if there is one. */
+  readonly closeLog: () => Promise<void>;
 }
 
 /** How the processes of a fleet are started. */
@@ -91,13 +99,18 @@
    * is written by default.
    */
   readonly profileFolder?: string;
+  /** Folder for the logs of each process; they are discarded by default. */
+  readonly logFolder?: string;
 }
 
 /** A running fleet of platform nodes. */
 export interface PlatformFleet {
+  readonly store: KeyValueStore;
   readonly members: readonly PlatformMember[];
   /** Writes a configuration with these routes to the store. */
   readonly publish: (version: number, routes: readonly DemoRoute[]) => void;
+  /** Folder for files of this fleet, which is removed at its end. */
+  readonly folder: string;
   readonly close: () => Promise<void>;
 }
 
@@ -131,11 +144,12 @@
 
 async function startMember(
   { index, service }: { readonly index: number; readonly service: string },
-  { ports, store, folder, command }: {
+  { ports, store, folder, command, logFolder }: {
     readonly ports: MeshPorts;
     readonly store: KeyValueStore;
     readonly folder: string;
     readonly command: readonly string[];
+    readonly logFolder: string | undefined;
   },
 ): Promise<PlatformMember> {
   const ip = `127.${20 + (process.pid % 200)}.9.${index + 1}`;
@@ -150,6 +164,7 @@
     node: `${ip}:${ports.outbound}`,
     calls: { lookup: [{ host: MESH_HOST, path: "/seal/check" }] },
   });
+  const storeEndpoint = await store.addEndpoint();
   const path = join(folder, `${id}.toml`);
   const settings = formatMeshSettings({
     name: `node-${id}`,
@@ -157,18 +172,21 @@
     service,
     zone,
     zones: ZONES,
-    store: store.address,
+    store: storeEndpoint.address,
     ports,
     graceS: GRACE_PERIOD_S,
   });
   await writeFile(path, settings);
+  const output = logFolder === undefined
+    ? undefined
+    : await open(join(logFolder, `${id}.log`), "a");
   let child: ChildProcess;
 
   async function start(): Promise<number> {
     const startedAt = performance.now();
     child = spawn(process.execPath, command, {
       env: { COLTSFOOTDEAL_SETTINGS: path },
-      stdio: ["ignore", "ignore", "inherit"],
+      stdio: ["ignore", output?.fd ?? "ignore", output?.fd ?? "inherit"],
     });
     while (await fetchReadinessStatus(ip, ports.readiness) !== 200) {
       if (performance.now() - startedAt > READY_TIMEOUT_MS) {
@@ -181,11 +199,12 @@
     return performance.now() - startedAt;
   }
 
-  function register(state: "ready" | "draining"): void {
+  const register: PlatformMember["register"] = (state, options) => {
+    const { id: entryId, ...rest } = options ?? { id };
     const address = `${ip}:${ports.application}`;
-    const entry = { address, service, zone, slots: SLOTS, state };
-    store.put(`servers/${id}`, formatMeshInstanceEntry(entry));
-  }
+    const entry = { address, service, zone, slots: SLOTS, state, ...rest };
+    store.put(`servers/${entryId}`, formatMeshInstanceEntry(entry));
+  };
 
   register("ready");
   await start();
@@ -193,11 +212,13 @@
     id,
     service,
     backend,
+    storeEndpoint,
     callers: { host: ip, port: ports.outbound },
     child: () => child,
     start,
     register,
     unregister: () => store.remove(`servers/${id}`),
+    closeLog: async () => await output?.close(),
   };
 }
 
@@ -205,7 +226,7 @@
 export async function startPlatformFleet(
   options: PlatformFleetOptions,
 ): Promise<PlatformFleet> {
-  const { perService, program = PROGRAM, profileFolder } = options;
+  const { perService, program = PROGRAM, profileFolder, logFolder } = options;
   const profileFlags = profileFolder === undefined
     ? []
     : ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`];
@@ -227,11 +248,14 @@
         store,
         folder,
         command,
+        logFolder,
       })
     ),
   );
 
-  async function stop({ child, backend }: PlatformMember): Promise<void> {
+  async function stop(
+    { child, backend, closeLog }: PlatformMember,
+  ): Promise<void> {
     const running = child();
     if (running.exitCode === null && running.signalCode === null) {
       const exited = once(running, "exit");
@@ -240,10 +264,13 @@
       await exited;
     }
     await backend.close();
+    await closeLog();
   }
 
   return {
+    store,
     members,
+    folder,
     publish,
     close: async () => {
       await Promise.all(members.map(stop));
--- /dev/null
+++ b/playground/src/soak/plan.ts
@@ -0,0 +1,194 @@
+/** Random plans of a soak: which faults and changes come when. */
+
+import { hashText } from "@coltsfootdeal/policy";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+/** What happens to the fleet; `member` is the index of a machine. */
+export type SoakAction =
+  /** The node gets a signal and is started again after it has ended. */
+  | {
+    readonly kind: "restart";
+    readonly member: number;
+    readonly signal: "SIGTERM" | "SIGKILL";
+    readonly downMs: number;
+  }
+  /** The node stands still. */
+  | { readonly kind: "pause"; readonly member: number; readonly ms: number }
+  /** The store refuses or does not answer these machines. */
+  | {
+    readonly kind: "store";
+    readonly members: readonly number[];
+    readonly how: "silent" | "busy" | "reset";
+    readonly ms: number;
+  }
+  /** The store is away and comes back with an earlier state. */
+  | {
+    readonly kind: "restore";
+    readonly ageMs: number;
+    readonly ms: number;
+    /** Time after the return in which lost writes are written again. */
+    readonly rewriteMs: number;
+  }
+  | { readonly kind: "publish" }
+  /** The backend server names a rate that it accepts. */
+  | {
+    readonly kind: "cap";
+    readonly member: number;
+    readonly perS: number;
+    readonly ms: number;
+  }
+  /** The backend server leaves; another one replaces it at its address. */
+  | {
+    readonly kind: "leave";
+    readonly member: number;
+    readonly how: "drain" | "remove" | "say";
+    readonly ms: number;
+  }
+  | {
+    readonly kind: "fault";
+    readonly member: number;
+    readonly fault:
+      | "answer_lost"
+      | "truncated"
+      | "crash"
+      | "extra"
+      | "unsigned";
+    readonly count: number;
+  };
+
+/** An action and the time at which it begins. */
+export interface SoakEvent {
+  readonly atMs: number;
+  readonly action: SoakAction;
+}
+
+/** Size of a soak. */
+export interface SoakScale {
+  /** Machines; each runs a node and a backend server. */
+  readonly members: number;
+  /** Time in which events begin, in ms. */
+  readonly lengthMs: number;
+  /** Mean time between two events, in ms. */
+  readonly gapMs: number;
+}
+
+/** Draws uniformly distributed numbers in [0, 1). */
+type Uniform = () => number;
+
+function createUniform(seed: number): Uniform {
+  const generator = xoroshiro128plus(hashText(`soak ${seed}`) | 0);
+  return () => uniformFloat64(generator);
+}
+
+function createPicker(uniform: Uniform, members: number) {
+  const between = (low: number, high: number) => low + uniform() * (high - low);
+  const oneOf = <Item>(items: readonly [Item, ...Item[]]): Item =>
+    items[Math.floor(uniform() * items.length)] ?? items[0];
+  const member = () => Math.floor(uniform() * members);
+  const some = (share: number) =>
+    Array.from({ length: members }, (_, index) => index).filter(() =>
+      uniform() < share
+    );
+  return { between, oneOf, member, some };
+}
+
+function drawAction(
+  kind: SoakAction["kind"],
+  { between, oneOf, member, some }: ReturnType<typeof createPicker>,
+): SoakAction {
+  switch (kind) {
+    case "restart":
+      return {
+        kind,
+        member: member(),
+        signal: oneOf(["SIGTERM", "SIGTERM", "SIGKILL"]),
+        downMs: between(0, 1_500),
+      };
+    case "pause":
+      return { kind, member: member(), ms: between(200, 2_500) };
+    case "store":
+      return {
+        kind,
+        members: some(oneOf([0.3, 1])),
+        how: oneOf(["silent", "busy", "reset"]),
+        ms: between(500, 4_000),
+      };
+    case "restore":
+      return {
+        kind,
+        ageMs: between(1_000, 8_000),
+        ms: between(200, 2_500),
+        rewriteMs: between(0, 1_000),
+      };
+    case "publish":
+      return { kind };
+    case "cap":
+      return {
+        kind,
+        member: member(),
+        perS: between(1, 10),
+        ms: between(4_000, 9_000),
+      };
+    case "leave":
+      return {
+        kind,
+        member: member(),
+        how: oneOf(["drain", "remove", "say"]),
+        ms: between(2_500, 5_000),
+      };
+    case "fault":
+      return {
+        kind,
+        member: member(),
+        fault: oneOf([
+          "answer_lost",
+          "truncated",
+          "crash",
+          "extra",
+          "unsigned",
+        ]),
+        count: 1 + Math.floor(between(0, 4)),
+      };
+  }
+}
+
+/** Kinds of actions; a kind that stands twice comes twice as often. */
+const KINDS = [
+  "restart",
+  "restart",
+  "pause",
+  "store",
+  "restore",
+  "publish",
+  "publish",
+  "cap",
+  "leave",
+  "fault",
+] as const;
+
+/** Share of events that are followed at once by others of their kind. */
+const SERIES_SHARE = 0.25;
+const SERIES_LENGTH = 3;
+const SERIES_GAP_MS = 300;
+
+/** Draws a plan; the same seed and scale give the same one. */
+export function createSoakPlan(
+  seed: number,
+  { members, lengthMs, gapMs }: SoakScale,
+): readonly SoakEvent[] {
+  const uniform = createUniform(seed);
+  const picker = createPicker(uniform, members);
+  const events: SoakEvent[] = [];
+  let atMs = 1_000;
+  while (atMs < lengthMs) {
+    const kind = picker.oneOf(KINDS);
+    const repeats = uniform() < SERIES_SHARE ? SERIES_LENGTH : 1;
+    for (let index = 0; index < repeats; index++) {
+      const action = drawAction(kind, picker);
+      events.push({ atMs: atMs + index * SERIES_GAP_MS, action });
+    }
+    atMs += -gapMs * Math.log(1 - uniform());
+  }
+  return events.sort((a, b) => a.atMs - b.atMs);
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -5,6 +5,7 @@
     include: [
       "packages/*/src/**/__tests__/*_test.ts",
       "platform/src/**/__tests__/*_test.ts",
+      "playground/src/**/__tests__/*_test.ts",
     ],
     setupFiles: ["./vitest.setup.ts"],
     // Scenarios run in virtual time: this only ends a test that hangs, also on a
