--- a/packages/node/src/gate/gate.ts
+++ b/packages/node/src/gate/gate.ts
@@ -424,6 +424,7 @@
             now,
             load: admission?.load(now),
             usualMs: admission?.averageRunMs(job.call.kind) ?? 0,
+            requestsPerS: notices.current()?.requestsPerS,
             backend: backend?.id,
           });
           const outcome = refused(action.reason, action.retryAfterMs);
--- a/packages/node/src/gate/gate_log.ts
+++ b/packages/node/src/gate/gate_log.ts
@@ -11,6 +11,8 @@
   readonly load: GateLoad | undefined;
   /** Mean slot time of runs of the call's kind, in ms; 0 if unknown. */
   readonly usualMs: number;
+  /** Rate that the backend server names; undefined for none. */
+  readonly requestsPerS: number | undefined;
   /** Id of the backend server in the instance list. */
   readonly backend: string | undefined;
 }
@@ -47,7 +49,7 @@
 ): GateLog {
   return {
     refused: (call, { reason, retryAfterMs }, inputs) => {
-      const { now, load, usualMs, backend } = inputs;
+      const { now, load, usualMs, requestsPerS, backend } = inputs;
       record("gate.refused", {
         requestId: call.requestId,
         call: call.id,
@@ -61,6 +63,7 @@
         limit: load?.limit,
         acceptLevel: load?.acceptLevel,
         usualMs: Math.round(usualMs),
+        requestsPerS,
         backend,
       });
     },
