fix(playground): the soak tells a cut from a request that crosses a close

The soak took each connection error that came earlier than 200 ms before the end of a process for a loss. The rule it stands for: passed on, or cut later than 200 ms after it was sent.

--- a/playground/src/soak/checks.ts
+++ b/playground/src/soak/checks.ts
@@ -20,7 +20,10 @@
 /** Excess over its rate, and requests besides, that a span may hold. */
 const RATE_EXCESS = 1.5;
 const RATE_SLACK = 5;
-/** Time before the end of a node in which a request may be lost. */
+/**
+ * Time after which a request that was sent may not be cut any more. One that
+ * crosses the close of its connection is cut sooner, and is not passed on.
+ */
 const LOSS_SLACK_MS = 200;
 /** Span and bounds of the arrivals that repeat a request. */
 const RETRY_SPAN_MS = 10_000;
@@ -68,10 +71,11 @@
   );
 }
 
-function describe({ id, route, member, sentAt, status, error }: CallerRecord) {
-  const at = Math.round(sentAt);
-  return `${id} (${route}) at machine ${member}, sent at ${at} ms, ended ` +
-    `${status || error}`;
+function describe(request: CallerRecord): string {
+  const { id, route, member, sentAt, endedAt, status, error } = request;
+  return `${id} (${route}) at machine ${member}, sent at ` +
+    `${Math.round(sentAt)} ms, ended ${status || error} ` +
+    `${Math.round(endedAt - sentAt)} ms later`;
 }
 
 function checkAnswers({ requests }: Observations): readonly string[] {
@@ -206,19 +210,20 @@
   });
 }
 
+/** Cuts without an answer by a node that was not killed or paused. */
 function checkLost(seen: Observations): readonly string[] {
-  const cut = seen.requests.filter(({ status, error }) =>
-    status === 0 && error !== "ECONNREFUSED"
-  );
-  return cut.flatMap((request) => {
-    const { member, sentAt, endedAt } = request;
+  const arrived = new Set(seen.arrivals.map(({ requestId }) => requestId));
+  return seen.requests.flatMap((request) => {
+    const { id, member, status, error, sentAt, endedAt } = request;
+    if (status !== 0 || error === "ECONNREFUSED") return [];
     const span = { from: sentAt - STABLE_MS, to: endedAt };
-    const around = seen.disturbances.filter((other) =>
-      other.member === member && overlaps(other, span)
+    const isExcused = seen.disturbances.some((other) =>
+      other.member === member && other.kind !== "stop" && overlaps(other, span)
     );
-    if (around.some(({ kind }) => kind !== "stop")) return [];
-    const isAtEnd = around.some(({ to }) => sentAt > to - LOSS_SLACK_MS);
-    return isAtEnd ? [] : [`cut without an answer: ${describe(request)}`];
+    if (isExcused) return [];
+    const isLate = endedAt - sentAt > LOSS_SLACK_MS;
+    if (!isLate && !arrived.has(id)) return [];
+    return [`cut without an answer: ${describe(request)}`];
   });
 }
 
@@ -249,7 +254,16 @@
   );
   const answered = calm.filter(({ status }) => status === 200).length;
   if (calm.length > 0 && answered >= calm.length * RECOVERED_SHARE) return [];
-  return [`${answered} of ${calm.length} answered in the calm at the end`];
+  const ends = countBy(
+    calm,
+    ({ member, route, status, error }) =>
+      `${route} at machine ${member}: ${status || error}`,
+  );
+  const others = [...ends].filter(([end]) => !end.endsWith(": 200"));
+  return [
+    `${answered} of ${calm.length} answered in the calm at the end: ` +
+    others.map(([end, count]) => `${count} ${end}`).join(", "),
+  ];
 }
 
 /** Returns a line for each promise that was broken, and how. */
