refactor(node): notices are modules of their own in gate and agent

The gate's side (tracker, log, counting) is backend_notices.ts, the agent's (memory, news of leaving) is notices.ts.

--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -8,12 +8,10 @@
 import type { Clock } from "@coltsfootdeal/kernel";
 import {
   ANTI_ENTROPY_PERIOD_MS,
-  type BackendIncarnation,
   type BackendReport,
   BOOTSTRAP_JITTER_MS,
   createGossipState,
   createMembership,
-  createNoticeMemory,
   type Death,
   drawIndex,
   GOSSIP_PUSH_PERIOD_MS,
@@ -37,7 +35,6 @@
   BUNDLE_TOPIC_PREFIX,
   createDeathNews,
   createFactNews,
-  createLeavingNews,
   DEATH_TOPIC_PREFIX,
   FACT_TOPIC_PREFIX,
   INSTANCE_TOPIC_PREFIX,
@@ -46,6 +43,7 @@
   requiresPush,
   shortDigest,
 } from "./news.ts";
+import { createNotices } from "./notices.ts";
 import { createPeers } from "./peers.ts";
 import { createPlatformReader } from "./platform_reader.ts";
 import type {
@@ -140,7 +138,15 @@
   const ownControlAddress = formatAddress(settings.control);
   const gossip = createGossipState();
   const membership = createMembership();
-  const notices = createNoticeMemory();
+  const notices = createNotices({
+    clock,
+    audit,
+    gossip,
+    isListed: (id) => membership.find(id) !== undefined,
+    onLeaving: (report) => {
+      if (report.id === listedId) config.onOwnReport(report);
+    },
+  });
   const seeds = settings.seeds.map(formatAddress).filter((a) =>
     a !== ownControlAddress
   );
@@ -255,7 +261,7 @@
       } else if (item.topic.startsWith(FACT_TOPIC_PREFIX)) {
         changed = applyFactNews(item) || changed;
       } else if (item.topic.startsWith(NOTICE_TOPIC_PREFIX)) {
-        changed = applyLeavingNews(item) || changed;
+        changed = notices.applyNews(item) || changed;
       } else if (item.topic.startsWith(DEATH_TOPIC_PREFIX)) {
         applyDeathNews(item);
       } else if (item.topic.startsWith(BUNDLE_TOPIC_PREFIX)) {
@@ -272,7 +278,7 @@
     const { id, service, dataCentre, state } = instance;
     if (state === "gone") {
       revisions.delete(id);
-      gossip.forget(NOTICE_TOPIC_PREFIX + id);
+      notices.forgetNews(id);
       broadcast.recordDeparture(instance);
     } else {
       revisions.set(id, news.version);
@@ -292,25 +298,12 @@
     // does not stay.
     if (state === "leaving" && instance.startedAt !== undefined) {
       const { startedAt } = instance;
-      recordLeaving({ id, startedAt }, { comparisonOnly: true });
+      notices.recordLeaving({ id, startedAt }, { comparisonOnly: true });
     }
     applyOwnEntry(instance);
     return true;
   }
 
-  /** Remembers that a backend server is leaving; false if that was known. */
-  function recordLeaving(
-    { id, startedAt }: BackendIncarnation,
-    options: ReceiveOptions = {},
-  ): boolean {
-    const report = { id, startedAt, requestsPerS: undefined, leaving: true };
-    if (!notices.record(report)) return false;
-    audit.record("backend_leaving", { id, startedAt });
-    gossip.receive([createLeavingNews(report)], clock.now(), options);
-    if (id === listedId) config.onOwnReport(report);
-    return true;
-  }
-
   /**
    * Applies the list entry at this node's address, if the settings take the
    * backend server from the list.
@@ -336,16 +329,6 @@
     return createFactNews({ id: listedId, incarnation, leaving });
   }
 
-  function applyLeavingNews(news: News): boolean {
-    const stated = parseNewsValue<BackendIncarnation>(news);
-    if (stated === undefined) return false;
-    if (membership.find(stated.id) !== undefined) return recordLeaving(stated);
-    // It left the list here already. If it was not listed yet, a later
-    // comparison delivers the news again.
-    gossip.forget(news.topic);
-    return false;
-  }
-
   function applyFactNews(news: News): boolean {
     const fact = parseNewsValue<InstanceFact>(news);
     return fact !== undefined && applyFact(fact);
@@ -502,8 +485,7 @@
       }
     },
     recordBackendReport: (report) => {
-      if (report.leaving && recordLeaving(report)) refreshRoutes();
-      notices.record(report);
+      if (notices.recordReport(report)) refreshRoutes();
     },
     rememberedOf: notices.find,
     receiveBundleAnnouncement: (text) => {
--- a/packages/node/src/gate/gate.ts
+++ b/packages/node/src/gate/gate.ts
@@ -16,13 +16,10 @@
   type BackendNotice,
   type BackendReport,
   createAdmission,
-  createNoticeTracker,
   type Death,
-  EMPTY_NOTICE,
   type GateAction,
   type GateLoad,
   isSameIncarnation,
-  isSameNotice,
   type Outcome,
   refused,
   type RetryLedger,
@@ -40,10 +37,10 @@
 } from "../constants.ts";
 import type { LogFields } from "../log.ts";
 import { digestRequest, type Payload } from "../payload.ts";
+import { createBackendNotices } from "./backend_notices.ts";
 import type { BackendServer, RunResult } from "./backend_server.ts";
 import { createGateLog } from "./gate_log.ts";
 import { createDeathDetector } from "./losses.ts";
-import { createNoticeLog } from "./notice_log.ts";
 
 /** A call to the backend server, from this node's ingress or another node's. */
 export interface GateCall {
@@ -207,7 +204,6 @@
   let service: Service | undefined;
   let catalog: Catalog | undefined;
   let backend: BackendState | undefined;
-  const notices = createNoticeTracker();
   let leaving = false;
   let deaths = 0;
   let lastDeath: Death | undefined;
@@ -218,7 +214,10 @@
     onDeath: (runIds) => recordDeath(runIds),
   });
   const log = createGateLog(config.onDecision);
-  const noticeLog = createNoticeLog(config.onDecision);
+  const notices = createBackendNotices({
+    backend: () => backend,
+    record: config.onDecision,
+  });
   const task = createSerialTask<GateMessage>((message) => {
     handle(message);
     scheduleTick(clock.now());
@@ -305,7 +304,7 @@
   /** Whether the backend server must get no new calls. */
   function isBackendLeaving(): boolean {
     const isListedLive = backend === undefined || backend.state === "live";
-    return !isListedLive || notices.current()?.leaving === true;
+    return !isListedLive || notices.current().leaving;
   }
 
   function applyLeaving(): void {
@@ -317,9 +316,9 @@
     performActions(admission?.refuseQueued(clock.now()) ?? []);
   }
 
-  function applyNotice({ requestsPerS }: BackendNotice): void {
+  function applyNotice(): void {
     const now = clock.now();
-    admission?.setRate(requestsPerS, now);
+    admission?.setRate(notices.current().requestsPerS, now);
     applyLeaving();
     performActions(admission?.tick(now) ?? []);
   }
@@ -328,26 +327,14 @@
     sentTo: BackendIncarnation,
     notice: BackendNotice,
   ): void {
-    // The backend server may have been replaced since.
-    if (backend === undefined || !isSameIncarnation(sentTo, backend)) return;
-    const before = notices.current() ?? EMPTY_NOTICE;
-    const next = notices.observe(notice);
-    if (isSameNotice(before, next)) return;
-    noticeLog.changed(backend.id, next);
-    applyNotice(next);
-    const { id, startedAt } = backend;
-    config.onNotice({ id, startedAt, ...next });
+    if (!notices.observe(sentTo, notice)) return;
+    applyNotice();
+    const report = notices.report();
+    if (report !== undefined) config.onNotice(report);
   }
 
-  /** Applies what a peer remembers, after a restart of this node. */
   function recallNotice(remembered: BackendReport): void {
-    if (backend === undefined) return;
-    if (!isSameIncarnation(remembered, backend)) return;
-    const before = notices.current() ?? EMPTY_NOTICE;
-    const next = notices.recall(remembered);
-    if (isSameNotice(before, next)) return;
-    noticeLog.changed(backend.id, next);
-    applyNotice(next);
+    if (notices.recall(remembered)) applyNotice();
   }
 
   /** Whether no backend server is listed although one has to be. */
@@ -387,7 +374,7 @@
     const { level, weight, deadlineAt } = call;
     runRegistry.start(call.id, { level, weight, deadlineAt });
     deathDetector.runStarted(call.id);
-    noticeLog.sent(now);
+    notices.countSent(now);
     const completion = config.backend.run({
       runId: call.id,
       instance: backend?.id,
@@ -398,9 +385,7 @@
       payload: call.payload,
       signal: job.abort.signal,
       onNotice: (notice) => {
-        const known = notices.current();
-        if (sentTo === undefined) return;
-        if (known !== undefined && isSameNotice(known, notice)) return;
+        if (sentTo === undefined || notices.isKnown(notice)) return;
         task.post({ kind: "notice", backend: sentTo, notice });
       },
     }, currentService);
@@ -424,7 +409,7 @@
             now,
             load: admission?.load(now),
             usualMs: admission?.averageRunMs(job.call.kind) ?? 0,
-            requestsPerS: notices.current()?.requestsPerS,
+            requestsPerS: notices.current().requestsPerS,
             backend: backend?.id,
           });
           const outcome = refused(action.reason, action.retryAfterMs);
@@ -589,12 +574,7 @@
       return isUnlisted() ? { ...load, leaving } : load;
     },
     recall: (remembered) => task.post({ kind: "recall", remembered }),
-    report: () => {
-      const notice = notices.current();
-      if (backend === undefined || notice === undefined) return undefined;
-      const { id, startedAt } = backend;
-      return { id, startedAt, ...notice };
-    },
+    report: notices.report,
     leave: () => task.post({ kind: "leave" }),
     isIdle: () => jobs.size === 0,
     close: () => {
