--- a/playground/src/platform_fleet.ts
+++ b/playground/src/platform_fleet.ts
@@ -38,8 +38,10 @@
 const GRACE_PERIOD_S = 3;
 const SLOTS = 8;
 const SERVICE_MS = 10;
-/** Time within which a started node must become ready. */
+/** Time within which a started node must become ready, in ms. */
 const READY_TIMEOUT_MS = 10_000;
+/** The same while a whole fleet starts, for each of its nodes. */
+const FLEET_READY_TIMEOUT_MS_PER_NODE = 1_000;
 const ZONES = ["east", "west"] as const;
 
 /** A route of the demo. */
@@ -144,12 +146,14 @@
 
 async function startMember(
   { index, service }: { readonly index: number; readonly service: string },
-  { ports, store, folder, command, logFolder }: {
+  { ports, store, folder, command, logFolder, readyMs }: {
     readonly ports: MeshPorts;
     readonly store: KeyValueStore;
     readonly folder: string;
     readonly command: readonly string[];
     readonly logFolder: string | undefined;
+    /** Time within which the first start must have ended, in ms. */
+    readonly readyMs: number;
   },
 ): Promise<PlatformMember> {
   const ip = `127.${20 + (process.pid % 200)}.9.${index + 1}`;
@@ -182,16 +186,16 @@
     : await open(join(logFolder, `${id}.log`), "a");
   let child: ChildProcess;
 
-  async function start(): Promise<number> {
+  async function start(timeoutMs = READY_TIMEOUT_MS): Promise<number> {
     const startedAt = performance.now();
     child = spawn(process.execPath, command, {
       env: { COLTSFOOTDEAL_SETTINGS: path },
       stdio: ["ignore", output?.fd ?? "ignore", output?.fd ?? "inherit"],
     });
     while (await fetchReadinessStatus(ip, ports.readiness) !== 200) {
-      if (performance.now() - startedAt > READY_TIMEOUT_MS) {
+      if (performance.now() - startedAt > timeoutMs) {
         throw new Error(
-          `node ${id}: expected to be ready within ${READY_TIMEOUT_MS} ms`,
+          `node ${id}: expected to be ready within ${timeoutMs} ms`,
         );
       }
       await new Promise((resolve) => setTimeout(resolve, 20));
@@ -207,7 +211,7 @@
   };
 
   register("ready");
-  await start();
+  await start(readyMs);
   return {
     id,
     service,
@@ -215,7 +219,7 @@
     storeEndpoint,
     callers: { host: ip, port: ports.outbound },
     child: () => child,
-    start,
+    start: () => start(),
     register,
     unregister: () => store.remove(`servers/${id}`),
     closeLog: async () => await output?.close(),
@@ -249,6 +253,10 @@
         folder,
         command,
         logFolder,
+        readyMs: Math.max(
+          READY_TIMEOUT_MS,
+          FLEET_READY_TIMEOUT_MS_PER_NODE * services.length,
+        ),
       })
     ),
   );
--- a/playground/src/soak/run_soak.ts
+++ b/playground/src/soak/run_soak.ts
@@ -31,10 +31,13 @@
   type SoakScale,
 } from "./plan.ts";
 
-/** Interval of a machine's requests on each route, in ms. */
-const REQUEST_INTERVAL_MS = 60;
-/** Interval of the requests that tell which configuration is in force. */
-const PROBE_INTERVAL_MS = 250;
+/** Interval of the whole fleet's requests on each route, in ms. */
+const REQUEST_INTERVAL_MS = 10;
+/**
+ * Interval of the whole fleet's requests that tell which configuration is in
+ * force, in ms.
+ */
+const PROBE_INTERVAL_MS = 40;
 /** Interval of the copies of the store's state. */
 const BACKUP_INTERVAL_MS = 500;
 /** Time after the last event in which nothing is disturbed. */
@@ -324,10 +327,11 @@
       callers.send(routeOfVersion(version));
       if (version > 2) callers.send(routeOfVersion(version - 1));
     }
-  }, PROBE_INTERVAL_MS);
+  }, PROBE_INTERVAL_MS * machines.length);
   for (const machine of machines) {
     watchEnd(machine);
-    machine.callers.start(DEMO_ROUTES, REQUEST_INTERVAL_MS);
+    const intervalMs = REQUEST_INTERVAL_MS * machines.length;
+    machine.callers.start(DEMO_ROUTES, intervalMs);
   }
 
   const startedAt = performance.now();
