fix(agent): a node that was stopped and starts again gets calls at once

What callers saw: after planned stops, nodes refused their callers with 'no upstream' for up to a minute, though the gates of the service ran again. Cause: that a node leaves is pushed to all, that it lives again was exchanged only in comparisons, and only for two seconds after its start: a node that missed that left it out until the fact of its leaving expired after 60 s. Nobody called it, so no answer could say otherwise, and the mark in the router had no end at all. Change: that a node is live is pushed if it was known as leaving; a node compares with a peer as soon as it has read the list; the mark of a leaving node lasts for 10 s, in membership and router, after which its gate, which refuses while it leaves, is tried again.

--- a/packages/bench/src/sim_node.ts
+++ b/packages/bench/src/sim_node.ts
@@ -78,7 +78,10 @@
     for (const member of simulation.members()) {
       timeline.after(
         GOSSIP_SPREAD_MS,
-        () => member.router.markLeaving(id, leftIncarnation),
+        () =>
+          member.router.markLeaving(id, leftIncarnation, {
+            now: timeline.now(),
+          }),
       );
     }
   }
--- a/packages/node/src/agent/__tests__/agent_test.ts
+++ b/packages/node/src/agent/__tests__/agent_test.ts
@@ -140,6 +140,21 @@
   expect(recent.map(({ topic }) => topic)).toContain("fact/i-b");
 });
 
+test("pushes that an instance is live again if it was leaving", () => {
+  const { agent, pushedTopicsAfter } = startAgent();
+  agent.controlHandler.push([createFactNews(createFact("i-b", true))]);
+  pushedTopicsAfter(5);
+  const returned = {
+    ...createFact("i-b", false),
+    incarnation: "1800000000000",
+  };
+  agent.controlHandler.compare({
+    settled: 0,
+    recent: [createFactNews(returned)],
+  });
+  expect(pushedTopicsAfter(1)).toContain("fact/i-b");
+});
+
 test("pushes at once that an instance is leaving", () => {
   const { agent, pushedTopicsAfter } = startAgent();
   agent.controlHandler.push([createFactNews(createFact("i-b", true))]);
--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -16,6 +16,7 @@
   drawIndex,
   GOSSIP_PUSH_PERIOD_MS,
   type InstanceFact,
+  LEAVING_FACT_TTL_MS,
   type ListedInstance,
   type Membership,
   type News,
@@ -226,11 +227,12 @@
 
   /**
    * After a list, a node that is not a reader need not watch. What changed since
-   * the list was made is left to the peers in it.
+   * the list was made is left to the peers in it. They hear at once that this
+   * node has started, in case they took it for leaving.
    */
   function finishList(): void {
     platformReader.update();
-    if (!feed.active()) compareWithRandomPeer();
+    compareWithRandomPeer();
   }
 
   /** Stores news; returns the items that were new or newer. */
@@ -240,7 +242,9 @@
   ): readonly News[] {
     const now = clock.now();
     return news.flatMap((item) => {
-      const comparisonOnly = options.comparisonOnly || !requiresPush(item);
+      const known = gossip.find(item.topic);
+      const comparisonOnly = options.comparisonOnly ||
+        !requiresPush(item, known);
       return gossip.receive([item], now, { comparisonOnly });
     });
   }
@@ -335,10 +339,14 @@
   }
 
   function applyFact(fact: InstanceFact): boolean {
-    if (!membership.applyFact(fact, clock.now())) return false;
+    const now = clock.now();
+    if (!membership.applyFact(fact, now)) return false;
     if (fact.leaving) {
-      router.markLeaving(fact.id, fact.incarnation);
+      router.markLeaving(fact.id, fact.incarnation, { now });
       audit.record("instance_leaving", { ...fact });
+      clock.after(LEAVING_FACT_TTL_MS, () => {
+        if (!closed) refreshRoutes();
+      });
     }
     return true;
   }
--- a/packages/node/src/agent/news.ts
+++ b/packages/node/src/agent/news.ts
@@ -83,11 +83,15 @@
 }
 
 /**
- * Whether news is pushed to peers. That an instance is live is only exchanged in
- * comparisons: each node says so when it starts, and a fleet that starts at once
- * would push as much as it has nodes, from each node to several others.
+ * Whether news is pushed to peers, given what is `known` of its topic. That an
+ * instance is live is only exchanged in comparisons: each node says so when it
+ * starts, and a fleet that starts at once would push as much as it has nodes,
+ * from each node to several others. It is pushed if the instance was leaving
+ * before, since its peers send it no calls until they know.
  */
-export function requiresPush(news: News): boolean {
+export function requiresPush(news: News, known: News | undefined): boolean {
   if (!news.topic.startsWith(FACT_TOPIC_PREFIX)) return true;
-  return parseNewsValue<InstanceFact>(news)?.leaving === true;
+  const isLeaving = (item: News) =>
+    parseNewsValue<InstanceFact>(item)?.leaving === true;
+  return isLeaving(news) || known !== undefined && isLeaving(known);
 }
--- a/packages/policy/src/__tests__/router_test.ts
+++ b/packages/policy/src/__tests__/router_test.ts
@@ -3,6 +3,7 @@
 import {
   EJECT_FAILURES_MIN,
   EJECT_SHARE_MAX,
+  LEAVING_FACT_TTL_MS,
   PROTECTED_LEVEL,
 } from "../constants.ts";
 import { createRouter } from "../router.ts";
@@ -32,17 +33,27 @@
 
 test("a leaving gate is not picked until it returns in a new incarnation", () => {
   const router = createFilled([upstream(1), upstream(2)]);
-  router.markLeaving("up-1", "1");
+  router.markLeaving("up-1", "1", { now: 0 });
   const random = createSeededRandom(7);
   for (let index = 0; index < 200; index++) {
     expect(router.pick(DEMAND, { now: index, random })?.id).toBe("up-2");
   }
   const anew = { ...upstream(1), incarnation: "2" };
   router.update("selos", [anew, upstream(2)], { now: 500 });
-  router.markLeaving("up-2", "1");
+  router.markLeaving("up-2", "1", { now: 500 });
   expect(router.pick(DEMAND, { now: 501, random })?.id).toBe("up-1");
 });
 
+test("a gate that was leaving is picked again after a while", () => {
+  const router = createFilled([upstream(1)]);
+  const random = createSeededRandom(7);
+  router.markLeaving("up-1", "1", { now: 0 });
+  const before = { now: LEAVING_FACT_TTL_MS - 1, random };
+  expect(router.pick(DEMAND, before)).toBeUndefined();
+  const after = { now: LEAVING_FACT_TTL_MS, random };
+  expect(router.pick(DEMAND, after)?.id).toBe("up-1");
+});
+
 test("the own data centre goes first, another one if the own is full", () => {
   const router = createFilled([upstream(1, "a"), upstream(2, "b")]);
   const random = createSeededRandom(7);
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -168,8 +168,12 @@
 export const UNLISTED_MAX_MS = 5_000;
 /** Longest random delay before a node without peers queries the platform. */
 export const BOOTSTRAP_JITTER_MS = 10_000;
-/** Lifetime of the fact that an instance is leaving. */
-export const LEAVING_FACT_TTL_MS = 60_000;
+/**
+ * Time for which a node that said that it is leaving gets no calls. It refuses
+ * them itself while it leaves, so an early try does no harm; a late one costs the
+ * capacity of a node that has started again.
+ */
+export const LEAVING_FACT_TTL_MS = 10_000;
 
 /** Time at a backend server's stated rate whose calls may be sent at once. */
 export const RATE_BURST_MS = 250;
--- a/packages/policy/src/router.ts
+++ b/packages/policy/src/router.ts
@@ -10,6 +10,7 @@
   EJECT_FAILURES_MIN,
   EJECT_MAX_MS,
   EJECT_SHARE_MAX,
+  LEAVING_FACT_TTL_MS,
   LOAD_HALF_LIFE_MS,
   OWN_GATE_MARGIN,
   PROTECTED_LEVEL,
@@ -89,8 +90,15 @@
     report: UpstreamReport,
     options: { readonly now: number; readonly kind?: string },
   ) => void;
-  /** Marks a gate as leaving: it is not picked again in this incarnation. */
-  readonly markLeaving: (id: string, incarnation: string) => void;
+  /**
+   * Marks a gate as leaving: it is not picked for a while, unless it returns in
+   * another incarnation.
+   */
+  readonly markLeaving: (
+    id: string,
+    incarnation: string,
+    options: { readonly now: number },
+  ) => void;
   /** Ignores all reported loads so far, as needed after a process pause. */
   readonly forgetLoads: () => void;
   readonly snapshot: (now: number) => readonly UpstreamStatus[];
@@ -120,7 +128,8 @@
   reportedAt: number;
   /** Outstanding calls of this router that the report includes. */
   ownCallsReported: number;
-  leaving: boolean;
+  /** Time until which it is not picked since it is leaving. */
+  leavingUntil: number;
   /** Consecutive failures. */
   failures: number;
   /** Consecutive ejections, without a success in between. */
@@ -142,7 +151,7 @@
     report: undefined,
     reportedAt: -Infinity,
     ownCallsReported: 0,
-    leaving: false,
+    leavingUntil: -Infinity,
     failures: 0,
     ejections: 0,
     ejectedUntil: -Infinity,
@@ -202,7 +211,7 @@
   request: RouteRequest,
   now: number,
 ): boolean {
-  if (entry.leaving) return false;
+  if (entry.leavingUntil > now) return false;
   if (request.exclude?.has(entry.upstream.id)) return false;
   if (entry.ejectedUntil > now) return request.allowEjected === true;
   // A gate that returns from ejection gets one call at a time until it answers
@@ -352,11 +361,12 @@
       if (kind !== undefined && usualMs > 0) {
         entry.runTimes.set(kind, { ms: usualMs, reportedAt: now });
       }
-      if (report.leaving) entry.leaving = true;
+      if (report.leaving) entry.leavingUntil = now + LEAVING_FACT_TTL_MS;
     },
-    markLeaving: (id, incarnation) => {
+    markLeaving: (id, incarnation, { now }) => {
       const entry = entries.get(id);
-      if (entry?.upstream.incarnation === incarnation) entry.leaving = true;
+      if (entry?.upstream.incarnation !== incarnation) return;
+      entry.leavingUntil = now + LEAVING_FACT_TTL_MS;
     },
     forgetLoads: () => {
       for (const entry of entries.values()) entry.reportedAt = -Infinity;
@@ -365,7 +375,7 @@
       [...entries.values()].map((entry) => ({
         upstream: entry.upstream,
         outstanding: entry.outstanding,
-        leaving: entry.leaving,
+        leaving: entry.leavingUntil > now,
         ejected: entry.ejectedUntil > now,
       })),
   };
