fix(policy): a call that is given up during a wait ends no attempt again

What callers saw: nothing directly; each client that left between two attempts took one from the calls in flight that a router counts at a gate, and cleared its count of failures, so that a busy or failing gate looked better than it is. Cause: the attempt that had ended stayed in the call's state while it waited for the next one. Change: no attempt is in flight during a wait.

--- a/packages/policy/src/__tests__/dispatch_test.ts
+++ b/packages/policy/src/__tests__/dispatch_test.ts
@@ -26,7 +26,7 @@
     serviceBudget: createRetryBudget(),
     suspects: createSuspects(),
   });
-  return { dispatcher };
+  return { dispatcher, router };
 }
 
 const END: fc.Arbitrary<AttemptEnd> = fc.constantFrom<AttemptEnd[]>(
@@ -112,3 +112,31 @@
   const urgent = { ...call, id: "urgent", level: PROTECTED_LEVEL };
   expect(dispatcher.begin(urgent, moment).kind).toBe("attempt");
 });
+
+test("a call that is given up between two attempts ends none of them again", () => {
+  const { dispatcher, router } = createParts();
+  const call: Call = {
+    id: "",
+    service: "selos",
+    level: 10,
+    idempotent: true,
+    caller: "account/caller",
+    deadlineAt: 100_000,
+    digest: "digest",
+    resend: false,
+    allowance: 3,
+  };
+  const moment = { now: 0, random: () => 0.5 };
+  const countOutstanding = () =>
+    router.snapshot(0).reduce((sum, { outstanding }) => sum + outstanding, 0);
+  // Each of the others has an attempt in flight.
+  const others = Array.from({ length: GATES }, (_, index) => `other-${index}`);
+  for (const id of others) dispatcher.begin({ ...call, id }, moment);
+  dispatcher.begin({ ...call, id: "given up" }, moment);
+  const failed = { kind: "failed", unspent: 0, starved: false } as const;
+  const step = dispatcher.settle("given up", failed, moment);
+  expect(step.kind).toBe("wait");
+  expect(countOutstanding()).toBe(others.length);
+  dispatcher.abandon("given up", { now: 10 });
+  expect(countOutstanding()).toBe(others.length);
+});
--- a/packages/policy/src/dispatch.ts
+++ b/packages/policy/src/dispatch.ts
@@ -248,6 +248,8 @@
     }
     ledger.spend(call.id);
     state.retries++;
+    // The attempt has ended; none is in flight during the wait.
+    state.upstream = undefined;
     return { kind: "wait", delayMs };
   }
 
