--- a/playground/src/soak/__tests__/soak_test.ts
+++ b/playground/src/soak/__tests__/soak_test.ts
@@ -6,14 +6,24 @@
 
 const PROGRAM = join(import.meta.dirname, "../../../../platform/dist/main.js");
 
-/** Seeds that failed once stay here, each with the cause in a line. */
-const SEEDS = [1, 2, 3] as const;
+/** Time in which the events of a short soak begin, in ms. */
+const SHORT_MS = 12_000;
+/** Length of the soaks that are run by hand, in ms. */
+const LONG_MS = 20_000;
 
-test.each(SEEDS)("no promise is broken in a soak, seed %i", async (seed) => {
+/** Seeds of each run; those that failed once stay, with the cause in a line. */
+const SOAKS = [
+  { seed: 1, lengthMs: SHORT_MS },
+  { seed: 2, lengthMs: SHORT_MS },
+  { seed: 3, lengthMs: SHORT_MS },
+  // Nodes that had been stopped and started again were taken for leaving.
+  { seed: 117, lengthMs: LONG_MS },
+] as const;
+
+test.each(SOAKS)("no promise is broken in a soak, seed $seed", async (soak) => {
   const { answered, broken } = await runSoak({
-    seed,
+    ...soak,
     perService: 2,
-    lengthMs: 12_000,
     gapMs: 900,
     program: PROGRAM,
   });
