fix(node): a stopping node that was held up reads what came before it ends

What callers saw: in a planned stop of a node on a busy machine, requests sent up to half a second before on open connections ended with a reset, without an answer. Cause: the check whether calls are in flight ran first after the process had stood still, before anything was read, found none and ended the process. Change: a node is idle after a check that came on time; one that did not become idle gives up its calls with an answer in any case, after it has read once more.

--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -109,6 +109,8 @@
 export const LOG_BUFFER_MAX_BYTES = 256 * 1024;
 /** Interval at which a draining node checks whether calls are in flight. */
 export const DRAIN_POLL_PERIOD_MS = 20;
+/** Delay of such a check from which the process counts as held up. */
+export const DRAIN_LATE_POLL_MS = 100;
 /**
  * Smallest share of the grace period for which a draining node keeps its
  * listeners open. The listener for the platform's own protocol, if there is
--- a/packages/node/src/drain.ts
+++ b/packages/node/src/drain.ts
@@ -2,6 +2,7 @@
 
 import type { Clock } from "@coltsfootdeal/kernel";
 import {
+  DRAIN_LATE_POLL_MS,
   DRAIN_LISTEN_MS,
   DRAIN_LISTEN_SHARE,
   DRAIN_MAX_SHARE,
@@ -26,10 +27,10 @@
 }
 
 /**
- * Resolves when the listen time has passed and no call is in flight, at the
- * latest shortly before the grace period ends.
+ * Resolves with true when the listen time has passed and no call is in flight;
+ * with false shortly before the grace period ends, if that comes first.
  */
-export async function drainUntilIdle(config: DrainConfig): Promise<void> {
+export async function drainUntilIdle(config: DrainConfig): Promise<boolean> {
   const { clock, graceMs, isBusy } = config;
   const startedAt = clock.now();
   const listenMs = graceMs === undefined
@@ -37,9 +38,23 @@
     : graceMs * DRAIN_LISTEN_SHARE;
   const maxMs = (graceMs ?? Infinity) * DRAIN_MAX_SHARE;
   const elapsedMs = () => clock.now() - startedAt;
-  const poll = () =>
-    new Promise<void>((resolve) => clock.after(DRAIN_POLL_PERIOD_MS, resolve));
-  while (elapsedMs() < listenMs) await poll();
+
+  /** Waits for the next check; false if the process was held up meanwhile. */
+  async function waitForCheck(): Promise<boolean> {
+    const dueAt = clock.now() + DRAIN_POLL_PERIOD_MS;
+    await new Promise<void>((resolve) =>
+      clock.after(DRAIN_POLL_PERIOD_MS, resolve)
+    );
+    return clock.now() - dueAt < DRAIN_LATE_POLL_MS;
+  }
+
+  while (elapsedMs() < listenMs) await waitForCheck();
   config.onListenTimeElapsed();
-  while (elapsedMs() < maxMs && isBusy()) await poll();
+  let isIdle = false;
+  while (elapsedMs() < maxMs && !isIdle) {
+    // A process that was held up has not read what came meanwhile.
+    const isOnTime = await waitForCheck();
+    isIdle = isOnTime && !isBusy();
+  }
+  return isIdle;
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -451,7 +451,7 @@
       // Not awaited yet: peers that do not answer must not use up the grace
       // period.
       const announcement = startLeaving();
-      await drainUntilIdle({
+      const isIdle = await drainUntilIdle({
         clock,
         graceMs,
         listenMs: options.drainListenMs,
@@ -464,7 +464,7 @@
       const inFlight = ingress.inFlight();
       audit.record("drained", { inFlight });
       if (graceMs !== undefined) {
-        if (inFlight > 0) await giveUpCalls();
+        if (!isIdle) await giveUpCalls();
         return await closeAtOnce();
       }
       await data.close();
