--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -25,6 +25,15 @@
   "admin",
 ];
 
+/** Nodes that were started and have not been seen to end. */
+const running = new Set();
+process.on("exit", () => {
+  for (const child of running) child.kill("SIGKILL");
+});
+for (const signal of ["SIGINT", "SIGTERM"]) {
+  process.on(signal, () => process.exit(2));
+}
+
 /** Whether the script plays the disruption. */
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
 
@@ -264,6 +273,7 @@
       stdio: ["ignore", "pipe", "pipe"],
     });
     machine.child = child;
+    running.add(child);
     machine.log = "";
     const keep = (text) => {
       machine.log = (machine.log + text).slice(-200_000);
@@ -271,6 +281,7 @@
     child.stdout.on("data", keep);
     child.stderr.on("data", keep);
     child.once("exit", (code, signal) => {
+      running.delete(child);
       record(`${machine.name}: process ended, code ${code} signal ${signal}`);
     });
   }
