--- a/packages/node/src/admin/audit.ts
+++ b/packages/node/src/admin/audit.ts
@@ -16,6 +16,7 @@
   | "instance_leaving"
   | "reader_started"
   | "reader_stopped"
+  | "platform_checked"
   | "news_malformed"
   | "platform_reachable"
   | "platform_unreachable"
--- a/packages/node/src/agent/__tests__/agent_test.ts
+++ b/packages/node/src/agent/__tests__/agent_test.ts
@@ -68,6 +68,9 @@
     },
     active: () => isActive,
     readOnce: () => {},
+    check: () => Promise.resolve(undefined),
+    confirmedAt: () => undefined,
+    position: () => undefined,
     reachable: () => true,
     close: () => {},
   };
--- a/packages/node/src/agent/__tests__/control_api_test.ts
+++ b/packages/node/src/agent/__tests__/control_api_test.ts
@@ -24,6 +24,7 @@
       receive(recent);
       return { recent: [] };
     },
+    offer: () => {},
     differing: () => [],
     pull: () => [],
     onMalformedNews: (items) => malformed.push(items),
--- /dev/null
+++ b/packages/node/src/agent/__tests__/knowledge_test.ts
@@ -0,0 +1,198 @@
+/** Changes of the platform apply in time, whichever nodes are lost. */
+
+import { resolveRanking } from "@coltsfootdeal/policy";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import {
+  createVirtualFleet,
+  type Loss,
+  type VirtualFleet,
+  type VirtualNode,
+} from "./virtual_fleet.ts";
+
+/** Time in which a configuration must be in force, in ms. */
+const CONFIGURATION_APPLY_MS = 2_000;
+/** Three heartbeat intervals, after which the platform removes an entry. */
+const ENTRY_EXPIRY_MS = 4_500;
+const SEED = 20_261_205;
+/** Time after which nothing remembers an entry that was removed. */
+const DEPARTED_MS = 31_000;
+const SETTLE_MS = 6_000;
+const STEP_MS = 10;
+const STORM_VERSIONS = 75;
+const STORM_PERIOD_MS = 330;
+/** Store calls of one data centre in which all readers are replaced. */
+const REPLACEMENT_CALLS_MAX = 20;
+const LARGE = { a: 65, b: 65, c: 65 };
+const SMALL = { a: 6, b: 4, c: 4 };
+
+let random: () => number;
+let fleet: VirtualFleet;
+
+beforeEach(() => {
+  const generator = xoroshiro128plus(SEED);
+  random = () => uniformFloat64(generator);
+  vi.spyOn(Math, "random").mockImplementation(random);
+});
+
+afterEach(() => {
+  fleet.close();
+  vi.restoreAllMocks();
+});
+
+async function startFleet(counts: Readonly<Record<string, number>>) {
+  fleet = createVirtualFleet(counts);
+  await fleet.clock.run(SETTLE_MS);
+  expect(fleet.nodes.map((node) => node.version())).not.toContain(0);
+}
+
+/** Publishes a version; returns the ms until each node has it in force. */
+async function measureApplyMs(
+  version: number,
+  nodes: readonly VirtualNode[] = fleet.left(),
+): Promise<readonly number[]> {
+  fleet.publish(version);
+  const appliedMs = new Map<VirtualNode, number>();
+  for (let ms = STEP_MS; ms <= 4 * CONFIGURATION_APPLY_MS; ms += STEP_MS) {
+    await fleet.clock.run(STEP_MS);
+    for (const node of nodes) {
+      if (node.version() < version || appliedMs.has(node)) continue;
+      appliedMs.set(node, ms);
+    }
+    if (appliedMs.size === nodes.length) break;
+  }
+  return nodes.map((node) => appliedMs.get(node) ?? Infinity);
+}
+
+function readers(): readonly VirtualNode[] {
+  return fleet.left().filter(({ agent }) => agent.status().reader);
+}
+
+/** Nodes of a data centre, those first that are to read the platform last. */
+function lastReadersFirst(dataCentre: string): readonly VirtualNode[] {
+  const nodes = fleet.left().filter((node) => node.dataCentre === dataCentre);
+  return resolveRanking(nodes, { hashKey: dataCentre }).toReversed();
+}
+
+/**
+ * Publishes versions in quick succession; returns the longest time in ms for
+ * which one of the nodes had an older version than one that was published.
+ */
+async function measureStormMs(
+  nodes: readonly VirtualNode[],
+): Promise<number> {
+  const publishedAt: { readonly version: number; readonly at: number }[] = [];
+  let longestMs = 0;
+  for (let version = 2; version < 2 + STORM_VERSIONS; version++) {
+    fleet.publish(version);
+    publishedAt.push({ version, at: fleet.clock.now() });
+    for (let ms = 0; ms < STORM_PERIOD_MS; ms += STEP_MS) {
+      await fleet.clock.run(STEP_MS);
+      const oldest = Math.min(...nodes.map((node) => node.version()));
+      const missing = publishedAt.find((next) => next.version > oldest);
+      if (missing === undefined) continue;
+      longestMs = Math.max(longestMs, fleet.clock.now() - missing.at);
+    }
+  }
+  return longestMs;
+}
+
+// Guards against nodes that keep an old configuration while nobody reads the
+// platform for them (review/3).
+test.each<[string, number, Loss]>([
+  ["refused", 0, "refused"],
+  ["refused", 3_500, "refused"],
+  ["silent", 0, "silent"],
+  ["silent", 3_500, "silent"],
+])(
+  "two nodes that are left of 14 apply a change in time (%s, after %i ms)",
+  async (_how, afterMs, how) => {
+    await startFleet(SMALL);
+    const left = lastReadersFirst("a").slice(0, 2);
+    const lost = fleet.nodes.filter((node) => !left.includes(node));
+    fleet.lose(lost, how);
+    const removal = fleet.clock.after(ENTRY_EXPIRY_MS, () => {
+      for (const node of lost) fleet.removeEntry(node);
+    });
+    await fleet.clock.run(afterMs);
+    const appliedMs = await measureApplyMs(2);
+    removal.close();
+    expect(Math.max(...appliedMs)).toBeLessThan(CONFIGURATION_APPLY_MS);
+  },
+);
+
+// Guards against nodes that wait for the readers of their data centre.
+test.each<[string, Readonly<Record<string, number>>, Loss]>([
+  ["14", SMALL, "refused"],
+  ["14", SMALL, "silent"],
+  ["195", LARGE, "refused"],
+  ["195", LARGE, "silent"],
+])("%s nodes whose readers are lost apply a change in time (%s)", async (
+  _count,
+  counts,
+  how,
+) => {
+  await startFleet(counts);
+  const lost = readers();
+  const calls = fleet.storeCalls();
+  fleet.lose(lost, how);
+  const appliedMs = await measureApplyMs(2);
+  expect(Math.max(...appliedMs)).toBeLessThan(CONFIGURATION_APPLY_MS);
+  // Each data centre reads for itself; its nodes do not all read.
+  const callsMax = REPLACEMENT_CALLS_MAX * Object.keys(counts).length;
+  expect(fleet.storeCalls() - calls).toBeLessThan(callsMax);
+});
+
+test("a whole data centre that is lost delays no other", async () => {
+  await startFleet(LARGE);
+  fleet.lose(lastReadersFirst("a"), "silent");
+  const appliedMs = await measureApplyMs(2);
+  expect(Math.max(...appliedMs)).toBeLessThan(CONFIGURATION_APPLY_MS);
+});
+
+test("nodes lost in waves delay no change", async () => {
+  await startFleet(SMALL);
+  for (let version = 2; fleet.left().length > 2; version++) {
+    const all = [...readers(), ...fleet.left()];
+    fleet.lose([...new Set(all)].slice(0, 2), "silent");
+    const appliedMs = await measureApplyMs(version);
+    expect(Math.max(...appliedMs)).toBeLessThan(CONFIGURATION_APPLY_MS);
+  }
+});
+
+// Guards against nodes that learn of changes only while they are listed
+// (review/5).
+test("a node beside an upstream that was lost earlier applies changes in time", async () => {
+  await startFleet({ a: 9 });
+  const judged = lastReadersFirst("a").slice(0, 2);
+  for (const node of judged) fleet.removeEntry(node);
+  await fleet.clock.run(DEPARTED_MS);
+  expect(await measureStormMs(judged)).toBeLessThan(CONFIGURATION_APPLY_MS);
+});
+
+test("a node that starts beside an unlisted upstream applies changes in time", async () => {
+  await startFleet(SMALL);
+  const started = fleet.start("i-new", "b");
+  await fleet.clock.run(3_000);
+  expect(await measureStormMs([started])).toBeLessThan(CONFIGURATION_APPLY_MS);
+});
+
+test("the only nodes of a data centre, upstreams gone, apply changes in time", async () => {
+  await startFleet(SMALL);
+  const judged = lastReadersFirst("b");
+  for (const node of judged) fleet.removeEntry(node);
+  await fleet.clock.run(DEPARTED_MS);
+  const others = fleet.left().filter((node) => !judged.includes(node));
+  fleet.lose(others, "silent");
+  expect(await measureStormMs(judged)).toBeLessThan(CONFIGURATION_APPLY_MS);
+});
+
+test("calm nodes that hear of readers do not read the platform", async () => {
+  await startFleet(LARGE);
+  await fleet.clock.run(5_000);
+  const others = fleet.left().filter((node) => !readers().includes(node));
+  const calls = others.map((node) => node.storeCalls());
+  await fleet.clock.run(10_000);
+  expect(others.map((node) => node.storeCalls())).toEqual(calls);
+});
--- a/packages/node/src/agent/__tests__/platform_reader_test.ts
+++ b/packages/node/src/agent/__tests__/platform_reader_test.ts
@@ -75,6 +75,7 @@
     listedId: findStandby,
     members: () => MEMBERS,
     hasBundle: () => true,
+    onReaderAnswer: () => {},
   });
   reader.start();
   for (let round = 0; round < 3; round++) {
--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -20,8 +20,11 @@
   type ListedInstance,
   type Membership,
   type News,
+  READERS_PER_DATA_CENTRE,
   type ReceiveOptions,
+  resolveSources,
   type Router,
+  STANDBY_READERS_PER_DATA_CENTRE,
   SUSPECT_TTL_MS,
   type Suspects,
 } from "@coltsfootdeal/policy";
@@ -44,6 +47,7 @@
   requiresPush,
   shortDigest,
 } from "./news.ts";
+import { createKnowledge } from "./knowledge.ts";
 import { createNotices } from "./notices.ts";
 import { createPeers } from "./peers.ts";
 import { createPlatformReader } from "./platform_reader.ts";
@@ -131,6 +135,11 @@
  * comparisons cover the rest.
  */
 const COMPARE_PUSH_NEWS_MAX = 1_024;
+/**
+ * Nodes of a data centre up to which one that has read the platform for itself
+ * tells all of them; in a larger one it tells a few.
+ */
+const OFFERED_PEERS_MAX = 64;
 /** Wait between two rounds of requests to seeds. */
 const BOOTSTRAP_RETRY_MS = 500;
 /** Creates an agent; `start` begins its timers and its bootstrap. */
@@ -194,6 +203,22 @@
     listedId: () => listedId,
     members: () => membership.members(settings.dataCentre),
     hasBundle: () => store.catalog() !== undefined,
+    onReaderAnswer: () => knowledge.recordContact({ readerAgeMs: 0 }),
+  });
+
+  const knowledge = createKnowledge({
+    clock,
+    audit,
+    feed,
+    compareWith,
+    drawPeers: drawSources,
+    offer: () => {
+      const local = peers.local();
+      const receivers = local.length > OFFERED_PEERS_MAX
+        ? peers.sample()
+        : local;
+      for (const peer of receivers) control.offer(peer, ownControlAddress);
+    },
   });
 
   const broadcast = createBroadcast({
@@ -255,7 +280,7 @@
    */
   function applyNews(
     news: readonly News[],
-    options: ReceiveOptions = {},
+    options: ReceiveOptions & { readonly from?: string } = {},
   ): readonly News[] {
     const fresh = storeNews(news, options);
     let changed = false;
@@ -269,7 +294,7 @@
       } else if (item.topic.startsWith(DEATH_TOPIC_PREFIX)) {
         applyDeathNews(item);
       } else if (item.topic.startsWith(BUNDLE_TOPIC_PREFIX)) {
-        bundleSync.fetchIfNewer(item);
+        bundleSync.fetchIfNewer(item, options.from);
       }
     }
     if (changed) refreshRoutes();
@@ -390,31 +415,66 @@
    * directions; false on failure.
    */
   async function compareWith(peer: string): Promise<boolean> {
+    const sentAt = clock.now();
     const reply = await control.compare(peer, {
-      ...gossip.compare(clock.now()),
-      ...platformReader.contact(),
+      ...gossip.compare(sentAt),
+      ...knowledge.contact(),
     });
     if (reply.isErr()) return false;
-    platformReader.recordContact(reply.value);
-    applyNews(reply.value.recent);
-    if (reply.value.buckets === undefined) return true;
+    knowledge.recordContact(reply.value);
+    applyNews(reply.value.recent, { from: peer });
+    if (reply.value.buckets === undefined) {
+      knowledge.recordComparison(reply.value, { peer, sentAt });
+      return true;
+    }
     const ownNews = gossip.differing(reply.value.buckets, clock.now());
     const hashes = gossip.buckets(clock.now());
     const peerNews = await control.differing(peer, hashes);
     if (peerNews.isErr()) return false;
-    applyNews(peerNews.value);
+    applyNews(peerNews.value, { from: peer });
+    knowledge.recordComparison(reply.value, { peer, sentAt });
     if (ownNews.length > 0) {
       await control.push(peer, ownNews.slice(0, COMPARE_PUSH_NEWS_MAX));
     }
     return true;
   }
 
+  function drawPeer(candidates: readonly string[]): string | undefined {
+    return candidates[drawIndex(Math.random, candidates.length)];
+  }
+
   function compareWithRandomPeer(): void {
-    const candidates = peers.sample();
-    const peer = candidates[drawIndex(Math.random, candidates.length)];
+    const peer = drawPeer(peers.sample());
     if (peer !== undefined) compareWith(peer);
   }
 
+  /** The nodes of its own data centre ask a reader; it asks others. */
+  function compareAsReader(): void {
+    if (!feed.active()) return;
+    const remote = drawPeer(peers.sampleRemote());
+    if (remote === undefined) compareWithRandomPeer();
+    else compareWith(remote);
+  }
+
+  /**
+   * Draws the peers that this node asks whether its knowledge is current. When
+   * the first did not help, any peer is asked as well.
+   */
+  function drawSources(attempt: number): readonly string[] {
+    const members = membership.members(settings.dataCentre);
+    const sources = resolveSources(members, {
+      dataCentre: settings.dataCentre,
+      self: listedId,
+      sourcesMin: attempt === 0
+        ? READERS_PER_DATA_CENTRE
+        : READERS_PER_DATA_CENTRE + STANDBY_READERS_PER_DATA_CENTRE,
+    }).map((member) => member.control);
+    const source = drawPeer(sources.filter((a) => a !== ownControlAddress));
+    if (source !== undefined && attempt === 0) return [source];
+    const others = peers.sample().filter((peer) => peer !== source);
+    return [source ?? [], drawPeer(others) ?? []].flat();
+  }
+
   /**
    * Compares with seeds, for at most a random time, before this node may read
    * the platform, so that nodes that start together do not all read it at once.
@@ -463,13 +523,14 @@
         applyNews(news, { comparisonOnly: true });
       },
       compare: (comparison) => {
-        platformReader.recordContact(comparison);
+        knowledge.recordContact(comparison);
         applyNews(comparison.recent);
         return {
           ...gossip.reply(comparison, clock.now()),
-          ...platformReader.contact(),
+          ...knowledge.contact(),
         };
       },
+      offer: knowledge.receiveOffer,
       differing: (buckets) => gossip.differing(buckets, clock.now()),
       pull,
       onMalformedNews: (items, reason) =>
@@ -480,10 +541,12 @@
       applyNews([createOwnFactNews()]);
       timers.push(
         clock.every(GOSSIP_PUSH_PERIOD_MS, pushRecentNews),
-        clock.every(ANTI_ENTROPY_PERIOD_MS, compareWithRandomPeer),
+        clock.every(ANTI_ENTROPY_PERIOD_MS, compareAsReader),
       );
       bootstrap().then(() => {
-        if (!closed) platformReader.start();
+        if (closed) return;
+        platformReader.start();
+        knowledge.start();
       });
     },
     recordInstanceFact: (fact) => {
@@ -547,6 +610,7 @@
     close: () => {
       closed = true;
       bundleSync.close();
+      knowledge.close();
       platformReader.close();
       broadcast.close();
       for (const timer of timers) timer.close();
--- a/packages/node/src/agent/bundle_sync.ts
+++ b/packages/node/src/agent/bundle_sync.ts
@@ -29,8 +29,11 @@
 export interface BundleSync {
   /** Offers the text of a bundle to the store; false if it is not valid. */
   readonly offer: (text: string, from: string) => boolean;
-  /** Fetches an announced version if this node uses it and it is newer. */
-  readonly fetchIfNewer: (news: News) => void;
+  /**
+   * Fetches an announced version if this node uses it and it is newer. `from`
+   * is the node that delivered the announcement, which is asked first.
+   */
+  readonly fetchIfNewer: (news: News, from?: string) => void;
   /** Adds a service to those whose bundles this node uses. */
   readonly addCalledService: (service: string) => void;
   readonly close: () => void;
@@ -83,21 +86,26 @@
       store.catalog()?.service(scope) !== undefined;
   }
 
-  function fetchIfNewer(news: News): void {
+  function fetchIfNewer(news: News, from?: string): void {
     const scope = scopeOf(news);
     if (!isUsed(scope) || rejectedDigests.has(news.digest)) return;
     const inForce = store.inForce(scope);
     if (inForce && compareVersions(news, inForce) <= 0) return;
-    fetchBundle(news);
+    fetchBundle(news, from);
   }
 
-  async function fetchBundle(news: News): Promise<void> {
+  async function fetchBundle(
+    news: News,
+    from: string | undefined,
+  ): Promise<void> {
     const key = `${news.topic}@${news.digest}`;
     if (fetchesInFlight.has(key)) return;
     fetchesInFlight.add(key);
     try {
-      const sources = [news.source ?? [], ...peers.sample()].flat().filter(
-        (source) => source !== ownControlAddress,
+      // The source that the announcement names may be gone by now.
+      const known = [from ?? [], news.source ?? [], ...peers.sample()].flat();
+      const sources = [...new Set(known)].filter((source) =>
+        source !== ownControlAddress
       );
       if (await fetchFromAny(sources, news)) return;
       // None of the sources has it. A later comparison delivers the
--- a/packages/node/src/agent/control_api.ts
+++ b/packages/node/src/agent/control_api.ts
@@ -3,6 +3,7 @@
 import type { Comparison, ComparisonReply, News } from "@coltsfootdeal/policy";
 import { initTRPC } from "@trpc/server";
 import * as z from "zod";
+import type { Position } from "./position.ts";
 
 /** Value of a topic that another node has requested. */
 export interface PulledValue {
@@ -19,10 +20,17 @@
   readonly readsPlatform: boolean;
 }
 
-/** What a node has heard of the nodes that read the platform. */
-export interface ReaderContact {
-  /** Time in ms since some node read the platform; absent if unknown. */
+/** How recent a node's knowledge of the platform is. */
+export interface PlatformContact {
+  /**
+   * Time in ms since some node read the platform, or tried to; absent if
+   * unknown.
+   */
   readonly readerAgeMs?: number;
+  /** Age in ms of the knowledge; absent if it was never confirmed. */
+  readonly knowledgeAgeMs?: number;
+  /** Position of the platform up to which this node knows every change. */
+  readonly position?: Position;
 }
 
 /** Handlers of the control messages, which the agent provides. */
@@ -34,8 +42,10 @@
   readonly inform: (news: readonly News[]) => void;
   /** Answers a peer's anti-entropy comparison with what differs. */
   readonly compare: (
-    comparison: Comparison & ReaderContact,
-  ) => ComparisonReply & ReaderContact;
+    comparison: Comparison & PlatformContact,
+  ) => ComparisonReply & PlatformContact;
+  /** Receives the control address of a node that has just read the platform. */
+  readonly offer: (source: string) => void;
   /** Returns the news in the buckets whose hash differs from the given one. */
   readonly differing: (buckets: readonly number[]) => readonly News[];
   /** Returns the values of topics; topics without a value are left out. */
@@ -49,15 +59,23 @@
 /** Longest value; holds a death of some 1,800 runs. */
 const VALUE_MAX_LENGTH = 65_536;
 
+/** Longest control address of a node. */
+const ADDRESS_MAX_LENGTH = 64;
+
 const NEWS_SCHEMA = z.object({
   topic: z.string().max(TOPIC_MAX_LENGTH),
   version: z.number().int().nonnegative(),
   digest: z.string().max(128),
   value: z.string().max(VALUE_MAX_LENGTH).optional(),
-  source: z.string().max(64).optional(),
+  source: z.string().max(ADDRESS_MAX_LENGTH).optional(),
   lifeMs: z.number().optional(),
 });
 
+const POSITION_SCHEMA = z.object({
+  era: z.int().nonnegative(),
+  revision: z.int().nonnegative(),
+});
+
 /** Items are checked one by one, so that one of them holds back no others. */
 const NEWS_LIST_SCHEMA = z.array(z.unknown()).max(4_096);
 
@@ -108,14 +126,23 @@
         settled: z.number(),
         recent: NEWS_LIST_SCHEMA,
         readerAgeMs: z.number().nonnegative().optional(),
+        knowledgeAgeMs: z.number().nonnegative().optional(),
+        position: POSITION_SCHEMA.optional(),
       }))
-      .mutation(({ input: { settled, recent, readerAgeMs } }) =>
-        handler.compare({
+      .mutation(({ input }) => {
+        const { settled, recent, readerAgeMs, knowledgeAgeMs, position } =
+          input;
+        return handler.compare({
           settled,
           recent: readNews(recent),
           ...(readerAgeMs === undefined ? {} : { readerAgeMs }),
-        })
-      ),
+          ...(knowledgeAgeMs === undefined ? {} : { knowledgeAgeMs }),
+          ...(position === undefined ? {} : { position }),
+        });
+      }),
+    offer: trpc.procedure
+      .input(z.object({ source: z.string().max(ADDRESS_MAX_LENGTH) }))
+      .mutation(({ input }) => handler.offer(input.source)),
     differing: trpc.procedure
       .input(z.array(z.number()).max(4_096))
       .mutation(({ input }) => handler.differing(input)),
--- a/packages/node/src/agent/control_client.ts
+++ b/packages/node/src/agent/control_client.ts
@@ -9,8 +9,8 @@
 import type {
   ControlRouter,
   Identity,
+  PlatformContact,
   PulledValue,
-  ReaderContact,
 } from "./control_api.ts";
 
 /** The node did not reply in time, or replied with an error. */
@@ -34,8 +34,12 @@
   ) => Promise<Result<void, ControlError>>;
   readonly compare: (
     address: string,
-    comparison: Comparison & ReaderContact,
-  ) => Promise<Result<ComparisonReply & ReaderContact, ControlError>>;
+    comparison: Comparison & PlatformContact,
+  ) => Promise<Result<ComparisonReply & PlatformContact, ControlError>>;
+  readonly offer: (
+    address: string,
+    source: string,
+  ) => Promise<Result<void, ControlError>>;
   readonly differing: (
     address: string,
     buckets: readonly number[],
@@ -132,6 +136,11 @@
             options,
           ),
       ),
+    offer: (address, source) =>
+      request(
+        address,
+        (client, options) => client.offer.mutate({ source }, options),
+      ),
     differing: (address, buckets) =>
       request(
         address,
--- a/packages/node/src/agent/feed.ts
+++ b/packages/node/src/agent/feed.ts
@@ -1,6 +1,7 @@
 /** Types of feeds, which deliver the platform's bundles and instance list. */
 
 import type { ListedInstance } from "@coltsfootdeal/policy";
+import type { Position } from "./position.ts";
 
 /** A value of the configuration service. */
 export interface PlatformValue {
@@ -27,12 +28,30 @@
   readonly onReachabilityChange: (reachable: boolean, reason: string) => void;
 }
 
+/** That all changes of the platform up to a time and position were read. */
+export interface Confirmation {
+  readonly at: number;
+  /** Absent if the platform has no single position. */
+  readonly position?: Position;
+}
+
 /** A feed that reads the platform between `start` and `stop`. */
 export interface Feed {
   readonly start: () => void;
   readonly stop: () => void;
   /** Reads the present state once, without waiting for changes. */
   readonly readOnce: () => void;
+  /**
+   * Reads the changes after a known position once, or all without one. Resolves
+   * to undefined if the platform does not answer.
+   */
+  readonly check: (
+    known: Position | undefined,
+  ) => Promise<Confirmation | undefined>;
+  /** Time up to which all changes were read; undefined before the first. */
+  readonly confirmedAt: () => number | undefined;
+  /** Latest position that was read, if the platform has a single one. */
+  readonly position: () => Position | undefined;
   readonly active: () => boolean;
   /** Whether the last request to the platform was answered. */
   readonly reachable: () => boolean;
--- a/packages/node/src/agent/feed_state.ts
+++ b/packages/node/src/agent/feed_state.ts
@@ -1,6 +1,6 @@
 /** Reachability of the platform and the backoff after errors, for all feeds. */
 
-import { PLATFORM_RETRY_MIN_MS } from "../constants.ts";
+import { PLATFORM_ANSWER_MS, PLATFORM_RETRY_MIN_MS } from "../constants.ts";
 import type { FeedSinks } from "./feed.ts";
 
 /** Whether the last request to the platform was answered. */
@@ -24,6 +24,42 @@
   };
 }
 
+/** Progress of calls that wait for changes. All times are in ms. */
+export interface WatchProgress {
+  /** Records that a call which waits for changes was sent. */
+  readonly recordWait: (now: number) => void;
+  /** Records the end of that call without an answer. */
+  readonly recordFailure: () => void;
+  /** Records an answer to a call that was sent at `sentAt`. */
+  readonly recordAnswer: (sentAt: number, now: number) => void;
+  /** Time up to which all changes are known; undefined before the first. */
+  readonly confirmedAt: (now: number) => number | undefined;
+}
+
+/** Creates a progress without any answer. */
+export function createWatchProgress(): WatchProgress {
+  let waitsSince: number | undefined;
+  let answeredAt: number | undefined;
+  return {
+    recordWait: (now) => {
+      waitsSince = now;
+    },
+    recordFailure: () => {
+      waitsSince = undefined;
+    },
+    recordAnswer: (sentAt, now) => {
+      waitsSince = undefined;
+      answeredAt = Math.max(sentAt, now - PLATFORM_ANSWER_MS);
+    },
+    confirmedAt: (now) => {
+      // The platform answers as soon as there is a change.
+      const waited = now - PLATFORM_ANSWER_MS;
+      const hasWaited = waitsSince !== undefined && waited >= waitsSince;
+      return hasWaited ? waited : answeredAt;
+    },
+  };
+}
+
 /**
  * Draws the wait in ms before the next request after an error: exponential
  * backoff with jitter, between half of the full wait and all of it.
--- a/packages/node/src/agent/key_feed.ts
+++ b/packages/node/src/agent/key_feed.ts
@@ -13,12 +13,17 @@
   STORE_WATCH_WAIT_MS,
 } from "../constants.ts";
 import type {
+  Confirmation,
   Feed,
   FeedSinks,
   PlatformInstance,
   PlatformValue,
 } from "./feed.ts";
-import { createReachability, drawRetryDelay } from "./feed_state.ts";
+import {
+  createReachability,
+  createWatchProgress,
+  drawRetryDelay,
+} from "./feed_state.ts";
 import { orderOf, type Position } from "./position.ts";
 
 /** Change of one key of the store. */
@@ -106,6 +111,8 @@
   let isListing = false;
   let latestEra: number | undefined;
   const reachability = createReachability(config.onReachabilityChange);
+  const progress = createWatchProgress();
+  let latest: Position | undefined;
 
   function observeEra({ era, revision }: Position): void {
     if (latestEra !== undefined && era > latestEra) {
@@ -204,6 +211,44 @@
     }
   }
 
+  /** Lists all keys; a list that is up to date confirms what it returns. */
+  async function listAll(
+    signal: AbortSignal,
+    allowsStale: boolean,
+  ): Promise<Result<Position, StoreError>> {
+    const sentAt = clock.now();
+    const listed = await list(signal, allowsStale);
+    if (listed.isOk() && !allowsStale) progress.recordAnswer(sentAt, sentAt);
+    return listed;
+  }
+
+  /**
+   * Reads what changed since `known`, and everything if the store no longer has
+   * that history.
+   */
+  async function check(
+    known: Position | undefined,
+  ): Promise<Confirmation | undefined> {
+    const { signal } = closing;
+    const at = clock.now();
+    if (known !== undefined) {
+      const query = { after: known.revision, waitMs: 0 };
+      const result = await reader.watch(query, signal);
+      if (signal.aborted) return undefined;
+      if (result.isOk()) {
+        const { position } = result.value;
+        const eraError = compareEras(position, known);
+        if (eraError === undefined) {
+          apply(result.value);
+          return { at, position };
+        }
+        if (eraError.kind !== "compacted") return undefined;
+      } else if (result.error.kind !== "compacted") return undefined;
+    }
+    const listed = await list(signal, false);
+    return listed.isOk() ? { at, position: listed.value } : undefined;
+  }
+
   /**
    * Why the revisions of an answer can't follow those of `known`; undefined if
    * they can. Once the store came back from a backup, it assigns revisions
@@ -230,13 +275,14 @@
     let failures = 0;
     while (!signal.aborted) {
       const result = position === undefined
-        ? await list(signal, allowsStaleList)
+        ? await listAll(signal, allowsStaleList)
         : await watch(position, signal);
       if (signal.aborted) return;
       if (result.isOk()) {
         failures = 0;
         reachability.set(true, "answered");
         position = result.value;
+        latest = position;
         continue;
       }
       if (result.error.kind === "compacted") {
@@ -261,13 +307,18 @@
     // works again is noticed at once.
     const waitMs = reachability.get() ? drawWatchWait() : 0;
     const query = { after: after.revision, waitMs };
+    const sentAt = clock.now();
+    progress.recordWait(sentAt);
     const result = await reader.watch(query, signal);
+    progress.recordFailure();
     if (result.isErr()) return err(result.error);
     const { changes, position } = result.value;
     if (signal.aborted) return ok(position);
     const eraError = compareEras(position, after);
     if (eraError !== undefined) return err(eraError);
     apply(result.value);
+    latest = position;
+    progress.recordAnswer(sentAt, clock.now());
     // The pause collects changes in quick succession into one request.
     if (changes.length > 0) await sleep(clock, STORE_WATCH_PAUSE_MS, signal);
     return ok(position);
@@ -282,7 +333,11 @@
     stop: () => {
       abort?.abort();
       abort = undefined;
+      progress.recordFailure();
     },
+    check,
+    confirmedAt: () => progress.confirmedAt(clock.now()),
+    position: () => latest,
     readOnce: async () => {
       if (abort !== undefined || isListing) return;
       isListing = true;
--- a/packages/node/src/agent/platform_reader.ts
+++ b/packages/node/src/agent/platform_reader.ts
@@ -15,7 +15,6 @@
   READER_CHECK_PERIOD_MS,
   READER_PROBE_PERIOD_MS,
 } from "../constants.ts";
-import type { ReaderContact } from "./control_api.ts";
 import type { ControlClient } from "./control_client.ts";
 import type { Feed } from "./feed.ts";
 
@@ -31,6 +30,8 @@
   /** Instances of the data centre that are listed as live. */
   readonly members: () => readonly ListedInstance[];
   readonly hasBundle: () => boolean;
+  /** Called when a probed node answers that it reads the platform. */
+  readonly onReaderAnswer: () => void;
 }
 
 /** Reads the platform if and while this node is a reader. */
@@ -39,10 +40,6 @@
   readonly start: () => void;
   /** Starts or stops reading, as the reader selection decides. */
   readonly update: () => void;
-  /** What this node has heard of readers, for a peer. */
-  readonly contact: () => ReaderContact;
-  /** Records what a peer has heard of readers. */
-  readonly recordContact: (contact: ReaderContact) => void;
   readonly close: () => void;
 }
 
@@ -69,7 +66,6 @@
   function update(): void {
     if (startedAt === undefined) return;
     const now = clock.now();
-    if (feed.active()) readers.recordContact(0, now);
     const { kind } = role();
     if (kind === "unlisted") return feed.readOnce();
     const lacksBundle = !config.hasBundle() && now - startedAt > BUNDLE_WAIT_MS;
@@ -100,7 +96,7 @@
     const overdueMs = clock.now() - probedAt - CONTROL_TIMEOUT_MS;
     if (reply.isErr() && overdueMs >= PAUSE_GAP_MIN_MS) return;
     const reads = reply.isOk() && reply.value.readsPlatform;
-    if (reads) readers.recordContact(0, clock.now());
+    if (reads) config.onReaderAnswer();
     readers.recordProbe(member.id, reads, clock.now());
   }
 
@@ -114,14 +110,6 @@
       update();
     },
     update,
-    contact: () => {
-      const ageMs = feed.active() ? 0 : readers.contactAgeMs(clock.now());
-      return ageMs === undefined ? {} : { readerAgeMs: ageMs };
-    },
-    recordContact: ({ readerAgeMs }) => {
-      if (readerAgeMs === undefined) return;
-      readers.recordContact(readerAgeMs, clock.now());
-    },
     close: () => {
       startedAt = undefined;
       for (const timer of timers) timer.close();
--- a/packages/node/src/agent/platform_watch.ts
+++ b/packages/node/src/agent/platform_watch.ts
@@ -3,8 +3,13 @@
 import { type Clock, sleep } from "@coltsfootdeal/kernel";
 import type { Result } from "neverthrow";
 import { PLATFORM_RETRY_MAX_MS, PLATFORM_WATCH_WAIT_MS } from "../constants.ts";
-import type { Feed, FeedSinks } from "./feed.ts";
-import { createReachability, drawRetryDelay } from "./feed_state.ts";
+import type { Confirmation, Feed, FeedSinks } from "./feed.ts";
+import {
+  createReachability,
+  createWatchProgress,
+  drawRetryDelay,
+  type WatchProgress,
+} from "./feed_state.ts";
 import { orderOf, type Position } from "./position.ts";
 import type {
   PlatformChanges,
@@ -43,6 +48,8 @@
   const closing = new AbortController();
   let abort: AbortController | undefined;
   const reachability = createReachability(config.onReachabilityChange);
+  const valueProgress = createWatchProgress();
+  const instanceProgress = createWatchProgress();
 
   /**
    * Reads changes after the last known revision. Revisions of another era are
@@ -51,9 +58,12 @@
   async function followChanges<Item extends { readonly revision: number }>(
     read: Read<Item>,
     onItems: (items: readonly Item[]) => void,
-    options: { readonly signal: AbortSignal },
+    options: {
+      readonly signal: AbortSignal;
+      readonly progress: WatchProgress;
+    },
   ): Promise<void> {
-    const { signal } = options;
+    const { signal, progress } = options;
     let known: Position | undefined;
     let failures = 0;
 
@@ -69,7 +79,10 @@
       // The first read after an error does not wait for a change, so that a
       // platform that returned to an older revision is noticed at once.
       const waitMs = after === 0 || failures > 0 ? 0 : PLATFORM_WATCH_WAIT_MS;
+      const sentAt = clock.now();
+      if (after !== 0) progress.recordWait(sentAt);
       const result = await read({ after, waitMs }, signal);
+      progress.recordFailure();
       if (signal.aborted) return;
       if (result.isErr()) {
         await fail(result.error);
@@ -84,20 +97,32 @@
       reachability.set(true, "answered");
       const isSameEra = known === undefined || known.era === position.era;
       known = isSameEra ? position : { era: position.era, revision: 0 };
-      if (isSameEra && items.length > 0) onItems(orderItems(items, position));
+      if (!isSameEra) continue;
+      if (items.length > 0) onItems(orderItems(items, position));
+      progress.recordAnswer(sentAt, clock.now());
     }
   }
 
   async function readOnce<Item extends { readonly revision: number }>(
     read: Read<Item>,
     onItems: (items: readonly Item[]) => void,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const result = await read({ after: 0, waitMs: 0 }, closing.signal);
-    if (closing.signal.aborted) return;
+    if (closing.signal.aborted) return false;
     result.match(({ position, items }) => {
       reachability.set(true, "answered");
       if (items.length > 0) onItems(orderItems(items, position));
     }, (error) => reachability.set(false, error));
+    return result.isOk();
+  }
+
+  async function check(): Promise<Confirmation | undefined> {
+    const at = clock.now();
+    const reads = await Promise.all([
+      readOnce(platform.values, config.onValues),
+      readOnce(platform.instances, config.onInstances),
+    ]);
+    return reads.every(Boolean) ? { at } : undefined;
   }
 
   return {
@@ -105,17 +130,33 @@
       if (abort !== undefined) return;
       abort = new AbortController();
       const { signal } = abort;
-      followChanges(platform.values, config.onValues, { signal });
-      followChanges(platform.instances, config.onInstances, { signal });
+      followChanges(platform.values, config.onValues, {
+        signal,
+        progress: valueProgress,
+      });
+      followChanges(platform.instances, config.onInstances, {
+        signal,
+        progress: instanceProgress,
+      });
     },
     stop: () => {
       abort?.abort();
       abort = undefined;
+      valueProgress.recordFailure();
+      instanceProgress.recordFailure();
     },
     readOnce: () => {
-      readOnce(platform.values, config.onValues);
-      readOnce(platform.instances, config.onInstances);
+      check();
+    },
+    check,
+    confirmedAt: () => {
+      const now = clock.now();
+      const values = valueProgress.confirmedAt(now);
+      const instances = instanceProgress.confirmedAt(now);
+      if (values === undefined || instances === undefined) return undefined;
+      return Math.min(values, instances);
     },
+    position: () => undefined,
     active: () => abort !== undefined,
     reachable: reachability.get,
     close: () => {
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -61,6 +61,11 @@
 export const PLATFORM_WATCH_WAIT_MS = 30_000;
 /** Longest delay before the platform is asked again after an error. */
 export const PLATFORM_RETRY_MAX_MS = 10_000;
+/**
+ * Time in which the platform answers a call that has not to wait. A call that
+ * has waited for longer tells that there was no change up to this time ago.
+ */
+export const PLATFORM_ANSWER_MS = 100;
 /**
  * Base of the exponential backoff after errors of the platform or of a
  * key-value store.
--- /dev/null
+++ b/packages/policy/src/__tests__/freshness_test.ts
@@ -0,0 +1,148 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import {
+  KNOWLEDGE_ASK_AGE_MS,
+  KNOWLEDGE_ASK_PATIENCE_MS,
+  READERS_PER_DATA_CENTRE,
+  SOURCE_FANOUT,
+} from "../constants.ts";
+import { createFreshness, resolveSources } from "../freshness.ts";
+
+/** Time in which a change must be in force, in ms. */
+const CHANGE_APPLY_MS = 2_000;
+/** Part of it that is left for the read itself and the changes it returns. */
+const READ_MS = 300;
+
+const draws = fc.double({ min: 0, max: 1, maxExcluded: true, noNaN: true });
+
+interface Run {
+  readonly freshness: ReturnType<typeof createFreshness>;
+  readonly asks: readonly number[];
+  readonly reads: readonly number[];
+}
+
+/** Follows the decisions of a node from its last confirmation at 0. */
+function run(
+  options: {
+    readonly draw: number;
+    readonly untilMs: number;
+    /** Called at each ask. */
+    readonly onAsk?: (freshness: Run["freshness"], now: number) => void;
+    /** Whether the platform answers. */
+    readonly answers?: boolean;
+  },
+): Run {
+  const freshness = createFreshness({ now: 0, random: () => options.draw });
+  freshness.confirm(0);
+  const asks: number[] = [];
+  const reads: number[] = [];
+  for (let now = 0; now <= options.untilMs;) {
+    const action = freshness.decide(now);
+    if (action.kind === "ask") {
+      asks.push(now);
+      options.onAsk?.(freshness, now);
+    }
+    if (action.kind === "read") {
+      reads.push(now);
+      freshness.recordRead(options.answers ?? true, now);
+      if (options.answers ?? true) freshness.confirm(now);
+    }
+    now += Math.max(1, action.nextMs);
+  }
+  return { freshness, asks, reads };
+}
+
+test("a node whose peers are silent reads before a change must apply", () => {
+  fc.assert(fc.property(draws, (draw) => {
+    const { asks, reads } = run({ draw, untilMs: 20_000 });
+    const gaps = reads.map((at, index) => at - (reads[index - 1] ?? 0));
+    expect(reads.length).toBeGreaterThan(0);
+    expect(Math.max(...gaps)).toBeLessThanOrEqual(CHANGE_APPLY_MS - READ_MS);
+    expect(asks[0]).toBe(KNOWLEDGE_ASK_AGE_MS);
+    expect(reads[0]! - asks[0]!).toBeGreaterThanOrEqual(
+      KNOWLEDGE_ASK_PATIENCE_MS,
+    );
+  }));
+});
+
+test("a node that gets recent answers asks at its rate and never reads", () => {
+  fc.assert(fc.property(
+    draws,
+    fc.integer({ min: 0, max: 500 }),
+    (draw, ageMs) => {
+      const { asks, reads } = run({
+        draw,
+        untilMs: 60_000,
+        onAsk: (freshness, now) => freshness.confirm(now - ageMs),
+      });
+      expect(reads).toEqual([]);
+      const askedMax = 60_000 / (KNOWLEDGE_ASK_AGE_MS - ageMs) + 1;
+      expect(asks.length).toBeLessThanOrEqual(askedMax);
+    },
+  ));
+});
+
+test("while a reader tries in vain, the others leave the platform to it", () => {
+  const { asks, reads } = run({
+    draw: 0.5,
+    untilMs: 30_000,
+    onAsk: (freshness, now) => freshness.recordContact(now - 500),
+  });
+  expect(reads).toEqual([]);
+  expect(asks.length).toBeLessThan(2 * 30_000 / KNOWLEDGE_ASK_AGE_MS);
+});
+
+test("reads that fail become rare", () => {
+  fc.assert(fc.property(draws, (draw) => {
+    const { reads } = run({ draw, untilMs: 60_000, answers: false });
+    expect(reads.length).toBeGreaterThan(5);
+    expect(reads.length).toBeLessThan(25);
+  }));
+});
+
+test("a node that was held up waits for answers before it reads", () => {
+  const freshness = createFreshness({ now: 0, random: () => 0 });
+  freshness.confirm(0);
+  expect(freshness.decide(KNOWLEDGE_ASK_AGE_MS).kind).toBe("ask");
+  const now = KNOWLEDGE_ASK_AGE_MS + 3_000;
+  freshness.recordDelay(3_000);
+  expect(freshness.decide(now).kind).toBe("ask");
+  const later = now + KNOWLEDGE_ASK_PATIENCE_MS;
+  expect(freshness.decide(later).kind).toBe("read");
+});
+
+test("a node that starts waits longer before it reads than one that knows", () => {
+  const freshness = createFreshness({ now: 0, random: () => 0 });
+  expect(freshness.ageMs(500)).toBeUndefined();
+  for (let now = 0; now < CHANGE_APPLY_MS; now += 100) {
+    expect(freshness.decide(now).kind).not.toBe("read");
+  }
+  expect(freshness.decide(3_000).kind).toBe("read");
+});
+
+function createMembers(count: number) {
+  return Array.from({ length: count }, (_, index) => ({ id: `i-${index}` }));
+}
+
+test("every node has sources, and no source answers many", () => {
+  for (const count of [1, 3, 14, 65, 2_000]) {
+    const members = createMembers(count);
+    const askers = [...members, { id: "unlisted" }];
+    const loads = new Map<string, number>();
+    for (const { id } of askers) {
+      const sources = resolveSources(members, {
+        dataCentre: "east",
+        self: id,
+        sourcesMin: READERS_PER_DATA_CENTRE,
+      });
+      expect(sources.length).toBeGreaterThan(
+        count === 1 && id === "i-0" ? -1 : 0,
+      );
+      for (const source of sources) {
+        const load = loads.get(source.id) ?? 0;
+        loads.set(source.id, load + 1 / sources.length);
+      }
+    }
+    expect(Math.max(...loads.values())).toBeLessThanOrEqual(2 * SOURCE_FANOUT);
+  }
+});
--- a/packages/policy/src/__tests__/readers_test.ts
+++ b/packages/policy/src/__tests__/readers_test.ts
@@ -1,9 +1,7 @@
 import fc from "fast-check";
 import { expect, test } from "vitest";
 import {
-  READER_CONTACT_AGE_MAX_MS,
   READER_PROBE_FAILURES,
-  READER_STAND_IN_MS,
   READERS_PER_DATA_CENTRE,
   STANDBY_READERS_PER_DATA_CENTRE,
   UNLISTED_MAX_MS,
@@ -53,7 +51,6 @@
         const reading = new Set(readers());
         for (const { id } of members) {
           const selection = selections.get(id)!;
-          if (reading.size > 0) selection.recordContact(0, now);
           const role = roleOf(id);
           if (role.kind === "none" || role.kind === "unlisted") continue;
           for (const probed of role.probe) {
@@ -106,25 +103,6 @@
   );
 });
 
-test("a node that hears of no reader for long reads for a while itself", () => {
-  const members = createMembers(40);
-  const ranked = createReaderSelection<Member>({ dataCentre: "east", now: 0 });
-  const roleOf = (self: string, now: number) =>
-    ranked.role(members, { self, now }).kind;
-  const outsider = members.map(({ id }) => id).find((id) =>
-    roleOf(id, 0) === "none"
-  )!;
-  ranked.recordContact(500, 1_000);
-  const aloneAt = 500 + READER_CONTACT_AGE_MAX_MS;
-  expect(ranked.contactAgeMs(1_000)).toBe(500);
-  expect(roleOf(outsider, aloneAt)).toBe("none");
-  expect(roleOf(outsider, aloneAt + 1)).toBe("reader");
-  // Its own reads are a contact too; they do not end the role at once.
-  ranked.recordContact(0, aloneAt + 2);
-  expect(roleOf(outsider, aloneAt + READER_STAND_IN_MS)).toBe("reader");
-  expect(roleOf(outsider, aloneAt + READER_STAND_IN_MS + 2)).toBe("none");
-});
-
 test("a node that knows no member of its data centre lists, then reads", () => {
   const selection = createReaderSelection<Member>({
     dataCentre: "east",
@@ -137,5 +115,4 @@
   const others = createMembers(8);
   expect(selection.role(others, { self: "machine-1", now: 0 }).kind)
     .toBe("none");
-  expect(selection.contactAgeMs(0)).toBeUndefined();
 });
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -137,7 +137,11 @@
 export const GOSSIP_PUSH_ROUNDS = 3;
 /** Period of the push rounds. */
 export const GOSSIP_PUSH_PERIOD_MS = 200;
-/** Period of the anti-entropy comparisons with a random peer. */
+/**
+ * Period of the anti-entropy comparisons of a reader with a random peer, of
+ * another data centre if there is one. Other nodes compare when they ask
+ * whether their knowledge is current.
+ */
 export const ANTI_ENTROPY_PERIOD_MS = 2_000;
 /** Age from which news is settled: compared by hash instead of in full. */
 export const SETTLED_AFTER_MS = 2_000;
@@ -157,13 +161,36 @@
  * probe succeeds.
  */
 export const READER_SUSPECT_TTL_MS = 30_000;
+/** Age of a node's knowledge of the platform from which it asks peers. */
+export const KNOWLEDGE_ASK_AGE_MS = 900;
+/** Time after which the next peer is asked if the first did not help. */
+export const KNOWLEDGE_ASK_RETRY_MS = 200;
+/**
+ * Asks in quick succession. If none of these peers knows more, the platform is
+ * out of reach for many, and the next asks wait for KNOWLEDGE_ASK_AGE_MS.
+ */
+export const KNOWLEDGE_QUICK_ASKS_MAX = 5;
+/** Shortest time for which a node asks peers before it reads the platform. */
+export const KNOWLEDGE_ASK_PATIENCE_MS = 350;
+/**
+ * Age from which a node that hears of no reader reads the platform itself. With
+ * the spread and the time of the read it is below the time in which a change
+ * must apply, 2 s on the platforms that we know.
+ */
+export const KNOWLEDGE_READ_AGE_MS = 1_250;
 /**
- * Time without a sign of any reader after which a node reads the platform
- * itself. Above the time that gossip takes to carry signs of life to all nodes.
+ * Longest random addition to that age. The first node to read tells its peers,
+ * so that the nodes that lost their readers together do not all read.
  */
-export const READER_CONTACT_AGE_MAX_MS = 12_000;
-/** Shortest time for which such a node goes on reading. */
-export const READER_STAND_IN_MS = 10_000;
+export const KNOWLEDGE_READ_SPREAD_MS = 400;
+/** Time after its start at which a node that hears nothing reads itself. */
+export const KNOWLEDGE_FIRST_READ_MS = 2_400;
+/** Time before such a read is tried again; doubles with each failure. */
+export const KNOWLEDGE_READ_RETRY_MS = 500;
+/** Longest time between two such reads that fail. */
+export const KNOWLEDGE_READ_RETRY_MAX_MS = 8_000;
+/** Nodes that draw the same sources in a large data centre, for each source. */
+export const SOURCE_FANOUT = 32;
 /** Time after its start for which a node only lists instances to find peers. */
 export const UNLISTED_MAX_MS = 5_000;
 /** Longest random delay before a node without peers queries the platform. */
--- /dev/null
+++ b/packages/policy/src/freshness.ts
@@ -0,0 +1,164 @@
+/**
+ * How old a node's knowledge of the platform is, and what the node does about
+ * it. Knowledge is confirmed by the platform itself or by a peer; a node that
+ * gets no confirmation asks its peers, and then reads the platform itself,
+ * before the knowledge is older than changes may take to apply.
+ */
+
+import {
+  KNOWLEDGE_ASK_AGE_MS,
+  KNOWLEDGE_ASK_PATIENCE_MS,
+  KNOWLEDGE_ASK_RETRY_MS,
+  KNOWLEDGE_FIRST_READ_MS,
+  KNOWLEDGE_QUICK_ASKS_MAX,
+  KNOWLEDGE_READ_AGE_MS,
+  KNOWLEDGE_READ_RETRY_MAX_MS,
+  KNOWLEDGE_READ_RETRY_MS,
+  KNOWLEDGE_READ_SPREAD_MS,
+  SOURCE_FANOUT,
+} from "./constants.ts";
+import type { Random } from "./random.ts";
+import { resolveRanking } from "./subset.ts";
+
+/** What a node does about the age of its knowledge; `nextMs` until the next. */
+export type FreshnessAction =
+  | { readonly kind: "wait"; readonly nextMs: number }
+  /** Asks a peer. `attempt` counts from 0 since the last confirmation. */
+  | {
+    readonly kind: "ask";
+    readonly attempt: number;
+    readonly nextMs: number;
+  }
+  /** Reads the platform; `ageMs` is the age of the knowledge. */
+  | { readonly kind: "read"; readonly ageMs: number; readonly nextMs: number };
+
+/** Age of the knowledge of one node. All times are on the node's own clock. */
+export interface Freshness {
+  /** Records that every change up to `at` is known. */
+  readonly confirm: (at: number) => void;
+  /** Records that some node read the platform, or tried to, at `at`. */
+  readonly recordContact: (at: number) => void;
+  /**
+   * Records that this process was held up for `delayMs`, so that answers to its
+   * asks may not have been read yet.
+   */
+  readonly recordDelay: (delayMs: number) => void;
+  /** Records the end of a read that `decide` asked for. */
+  readonly recordRead: (isOk: boolean, now: number) => void;
+  /** Age in ms of the knowledge; undefined if it was never confirmed. */
+  readonly ageMs: (now: number) => number | undefined;
+  /** Time in ms since the latest contact; undefined without one. */
+  readonly contactAgeMs: (now: number) => number | undefined;
+  /** Decides what to do, and records that it is done. */
+  readonly decide: (now: number) => FreshnessAction;
+}
+
+/** Creates the freshness of a node that knows nothing at its start. */
+export function createFreshness(
+  options: { readonly now: number; readonly random: Random },
+): Freshness {
+  const { random } = options;
+  const startedAt = options.now;
+  let confirmedAt: number | undefined;
+  let contactAt: number | undefined;
+  /** Spread of the age at which this node reads, drawn for each period. */
+  let spreadMs = random() * KNOWLEDGE_READ_SPREAD_MS;
+  let firstAskAt: number | undefined;
+  let lastAskAt = -Infinity;
+  let attempt = 0;
+  let nextReadAt = -Infinity;
+  let failedReads = 0;
+
+  /** Time from which this node reads the platform; asks come first. */
+  function readDueAt(): number {
+    const unheardSince = Math.max(
+      confirmedAt ?? -Infinity,
+      contactAt ?? -Infinity,
+    );
+    const dueAt = unheardSince === -Infinity
+      ? startedAt + KNOWLEDGE_FIRST_READ_MS
+      : unheardSince + KNOWLEDGE_READ_AGE_MS;
+    const askedUntil = (firstAskAt ?? Infinity) + KNOWLEDGE_ASK_PATIENCE_MS;
+    return Math.max(dueAt + spreadMs, askedUntil, nextReadAt);
+  }
+
+  function askDueAt(): number {
+    const staleAt = (confirmedAt ?? startedAt) + KNOWLEDGE_ASK_AGE_MS;
+    const pauseMs = attempt < KNOWLEDGE_QUICK_ASKS_MAX
+      ? KNOWLEDGE_ASK_RETRY_MS
+      : KNOWLEDGE_ASK_AGE_MS;
+    return Math.max(staleAt, lastAskAt + pauseMs);
+  }
+
+  function recordContact(at: number): void {
+    contactAt = Math.max(contactAt ?? -Infinity, at);
+  }
+
+  return {
+    confirm: (at) => {
+      recordContact(at);
+      if (confirmedAt !== undefined && at <= confirmedAt) return;
+      confirmedAt = at;
+      firstAskAt = undefined;
+      attempt = 0;
+      spreadMs = random() * KNOWLEDGE_READ_SPREAD_MS;
+    },
+    recordContact,
+    recordDelay: (delayMs) => {
+      if (firstAskAt !== undefined) firstAskAt += delayMs;
+    },
+    recordRead: (isOk, now) => {
+      failedReads = isOk ? 0 : failedReads + 1;
+      const waitMs = Math.min(
+        KNOWLEDGE_READ_RETRY_MAX_MS,
+        KNOWLEDGE_READ_RETRY_MS * 2 ** Math.max(0, failedReads - 1),
+      );
+      nextReadAt = isOk ? -Infinity : now + waitMs * (0.5 + random() / 2);
+    },
+    ageMs: (now) => confirmedAt === undefined ? undefined : now - confirmedAt,
+    contactAgeMs: (now) =>
+      contactAt === undefined ? undefined : now - contactAt,
+    decide: (now) => {
+      if (now >= readDueAt()) {
+        // Until `recordRead` tells how it ended.
+        nextReadAt = now + KNOWLEDGE_READ_RETRY_MAX_MS;
+        const ageMs = now - (confirmedAt ?? startedAt);
+        return { kind: "read", ageMs, nextMs: KNOWLEDGE_ASK_RETRY_MS };
+      }
+      if (now < askDueAt()) {
+        const dueAt = Math.min(askDueAt(), readDueAt());
+        return { kind: "wait", nextMs: dueAt - now };
+      }
+      firstAskAt ??= now;
+      lastAskAt = now;
+      const nextMs = Math.min(KNOWLEDGE_ASK_RETRY_MS, readDueAt() - now);
+      return { kind: "ask", attempt: attempt++, nextMs };
+    },
+  };
+}
+
+/**
+ * Returns the members of a data centre among which a node draws the one that it
+ * asks: the readers in a small one. In a large one the sources form a tree in
+ * the order of the ranking, so that no node answers many.
+ */
+export function resolveSources<Member extends { readonly id: string }>(
+  members: readonly Member[],
+  options: {
+    readonly dataCentre: string;
+    readonly self: string;
+    /** Number of sources in a small data centre. */
+    readonly sourcesMin: number;
+  },
+): readonly Member[] {
+  const ranking = resolveRanking(members, { hashKey: options.dataCentre });
+  const found = ranking.findIndex(({ id }) => id === options.self);
+  const position = found < 0 ? ranking.length : found;
+  const count = Math.ceil(position / SOURCE_FANOUT);
+  // Half of the nodes before, so that the first of them answer no more than
+  // the others.
+  const sources = count > options.sourcesMin
+    ? ranking.slice(Math.floor(count / 2), count)
+    : ranking.slice(0, options.sourcesMin);
+  return sources.filter(({ id }) => id !== options.self);
+}
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./backoff.ts";
 export * from "./constants.ts";
 export * from "./dispatch.ts";
+export * from "./freshness.ts";
 export * from "./ledger.ts";
 export * from "./level.ts";
 export * from "./limit.ts";
--- a/packages/policy/src/readers.ts
+++ b/packages/policy/src/readers.ts
@@ -5,9 +5,7 @@
  */
 
 import {
-  READER_CONTACT_AGE_MAX_MS,
   READER_PROBE_FAILURES,
-  READER_STAND_IN_MS,
   READER_SUSPECT_TTL_MS,
   READERS_PER_DATA_CENTRE,
   STANDBY_READERS_PER_DATA_CENTRE,
@@ -47,10 +45,6 @@
   ) => ReaderRole<Member>;
   /** Records whether a probed node answered that it reads the platform. */
   readonly recordProbe: (id: string, reads: boolean, now: number) => void;
-  /** Records that some node of the fleet read the platform `ageMs` ago. */
-  readonly recordContact: (ageMs: number, now: number) => void;
-  /** Time in ms since the latest recorded contact; undefined without one. */
-  readonly contactAgeMs: (now: number) => number | undefined;
 }
 
 /** Creates a selection at the start of the process. */
@@ -59,24 +53,13 @@
 ): ReaderSelection<Member> {
   const failures = new Map<string, number>();
   const suspectUntil = new Map<string, number>();
-  let contactAt: number | undefined;
-  let standsInUntil = -Infinity;
 
   function responds({ id }: Member, now: number): boolean {
     return (suspectUntil.get(id) ?? -Infinity) <= now;
   }
 
-  /** Whether the fleet seems to have no reader that this node can hear. */
-  function isWithoutReaders(now: number): boolean {
-    if (now - (contactAt ?? options.now) > READER_CONTACT_AGE_MAX_MS) {
-      standsInUntil = now + READER_STAND_IN_MS;
-    }
-    return now < standsInUntil;
-  }
-
   return {
     role: (members, { self, now }) => {
-      const withoutReaders = isWithoutReaders(now);
       if (members.length === 0) {
         return now - options.now < UNLISTED_MAX_MS
           ? { kind: "unlisted" }
@@ -88,18 +71,15 @@
         hashKey: options.dataCentre,
       }).slice(0, READERS_PER_DATA_CENTRE + STANDBY_READERS_PER_DATA_CENTRE);
       const position = candidates.findIndex(({ id }) => id === self);
-      if (position < 0) {
-        return withoutReaders
-          ? { kind: "reader", probe: [] }
-          : { kind: "none" };
-      }
+      if (position < 0) return { kind: "none" };
       if (position < READERS_PER_DATA_CENTRE) {
         return { kind: "reader", probe: [] };
       }
       const before = candidates.slice(0, position);
       const readers = before.filter((member) => responds(member, now));
-      const isNeeded = readers.length < READERS_PER_DATA_CENTRE;
-      if (isNeeded || withoutReaders) return { kind: "reader", probe: before };
+      if (readers.length < READERS_PER_DATA_CENTRE) {
+        return { kind: "reader", probe: before };
+      }
       const first = candidates.slice(0, READERS_PER_DATA_CENTRE);
       const firstRespond = first.every((member) => responds(member, now));
       return { kind: "standby", probe: firstRespond ? first : before };
@@ -115,10 +95,5 @@
       if (count < READER_PROBE_FAILURES) return;
       suspectUntil.set(id, now + READER_SUSPECT_TTL_MS);
     },
-    recordContact: (ageMs, now) => {
-      contactAt = Math.max(contactAt ?? -Infinity, now - Math.max(0, ageMs));
-    },
-    contactAgeMs: (now) =>
-      contactAt === undefined ? undefined : now - contactAt,
   };
 }
--- a/packages/policy/src/spread.ts
+++ b/packages/policy/src/spread.ts
@@ -101,6 +101,8 @@
   readonly news: News;
   readonly receivedAt: number;
   readonly hash: number;
+  /** Index of the topic's bucket. */
+  readonly bucket: number;
   pushCount: number;
 }
 
@@ -136,7 +138,13 @@
     const newer = !known || compareVersions(news, known.news) > 0;
     if (!newer) return false;
     if (news.lifeMs !== undefined && news.lifeMs <= 0) return false;
-    const entry = { news, receivedAt: now, hash: hashNews(news), pushCount: 0 };
+    const entry = {
+      news,
+      receivedAt: now,
+      hash: hashNews(news),
+      bucket: known?.bucket ?? hashText(news.topic) % ANTI_ENTROPY_BUCKETS,
+      pushCount: 0,
+    };
     byTopic.set(news.topic, entry);
     if (comparisonOnly) pending.delete(news.topic);
     else pending.set(news.topic, entry);
@@ -169,16 +177,20 @@
 
   function bucketHashes(now: number): number[] {
     const buckets = new Array<number>(ANTI_ENTROPY_BUCKETS).fill(0);
-    for (const [topic, entry] of byTopic) {
+    for (const entry of byTopic.values()) {
       if (!isSettled(entry, now)) continue;
-      const index = hashText(topic) % ANTI_ENTROPY_BUCKETS;
-      buckets[index] = ((buckets[index] ?? 0) ^ entry.hash) >>> 0;
+      const { bucket, hash } = entry;
+      buckets[bucket] = ((buckets[bucket] ?? 0) ^ hash) >>> 0;
     }
     return buckets;
   }
 
   function settledHash(now: number): number {
-    return bucketHashes(now).reduce((all, hash) => (all ^ hash) >>> 0, 0);
+    let all = 0;
+    for (const entry of byTopic.values()) {
+      if (isSettled(entry, now)) all = (all ^ entry.hash) >>> 0;
+    }
+    return all;
   }
 
   function pendingNews(now: number): readonly News[] {
@@ -233,9 +245,9 @@
     differing: (buckets, now) => {
       const own = bucketHashes(now);
       const list: News[] = [];
-      for (const [topic, entry] of byTopic) {
-        const index = hashText(topic) % ANTI_ENTROPY_BUCKETS;
-        if (own[index] === buckets[index] || isExpired(entry, now)) continue;
+      for (const entry of byTopic.values()) {
+        const { bucket } = entry;
+        if (own[bucket] === buckets[bucket] || isExpired(entry, now)) continue;
         list.push(withRemainingLife(entry, now));
       }
       return list;
