--- a/packages/node/src/agent/__tests__/agent_test.ts
+++ b/packages/node/src/agent/__tests__/agent_test.ts
@@ -231,13 +231,29 @@
   expect(large.informed).toContainEqual([entry!.control, "instance/i-b"]);
 });
 
-test("a node is informed for a while after its backend server has left", () => {
-  const { sinks, informed } = startAgent();
+// Guards against nodes that learn of changes only while they are listed.
+test("a node that has asked is informed, whether or not it is listed", () => {
+  const { agent, sinks, informed } = startAgent();
   const [entry, other] = LISTED_INSTANCES;
   sinks.onInstances([{ ...entry!, state: "gone", revision: 20 }]);
+  for (const source of [entry!.control, "10.0.0.99:2"]) {
+    agent.controlHandler.compare({ settled: 0, recent: [], source });
+  }
   informed.length = 0;
   sinks.onInstances([{ ...other!, slots: 9, revision: 21 }]);
   expect(informed).toContainEqual([entry!.control, "instance/i-c"]);
+  expect(informed).toContainEqual(["10.0.0.99:2", "instance/i-c"]);
+});
+
+test("addresses that ask are informed up to a bound", () => {
+  const { agent, sinks, informed } = startAgent();
+  for (let index = 0; index < 1_000; index++) {
+    const source = `10.1.${index >> 8}.${index & 255}:2`;
+    agent.controlHandler.compare({ settled: 0, recent: [], source });
+  }
+  informed.length = 0;
+  sinks.onInstances([{ ...LISTED_INSTANCES[0]!, slots: 9, revision: 21 }]);
+  expect(informed.length).toBeLessThan(100);
 });
 
 test("an instance that a list lacks is known to the feed with its revision", () => {
--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -308,7 +308,6 @@
     if (state === "gone") {
       revisions.delete(id);
       notices.forgetNews(id);
-      broadcast.recordDeparture(instance);
     } else {
       revisions.set(id, news.version);
     }
@@ -419,6 +418,7 @@
     const reply = await control.compare(peer, {
       ...gossip.compare(sentAt),
       ...knowledge.contact(),
+      source: ownControlAddress,
     });
     if (reply.isErr()) return false;
     knowledge.recordContact(reply.value);
@@ -524,6 +524,9 @@
       },
       compare: (comparison) => {
         knowledge.recordContact(comparison);
+        if (comparison.source !== undefined) {
+          broadcast.recordAsker(comparison.source);
+        }
         applyNews(comparison.recent);
         return {
           ...gossip.reply(comparison, clock.now()),
--- a/packages/node/src/agent/broadcast.ts
+++ b/packages/node/src/agent/broadcast.ts
@@ -28,8 +28,11 @@
    * to know that its backend server is leaving.
    */
   readonly send: (changed: readonly ListedInstance[]) => void;
-  /** Records an instance that is not listed any more. */
-  readonly recordDeparture: (instance: ListedInstance) => void;
+  /**
+   * Records a node that asked whether its knowledge is current. It is informed
+   * like a listed one for a while.
+   */
+  readonly recordAsker: (address: string) => void;
   readonly close: () => void;
 }
 
@@ -43,25 +46,22 @@
 const CHANGED_INSTANCES_MAX = 16;
 /** Delay before a reader passes changes on to other data centres. */
 const REMOTE_PUSH_DELAY_MS = 300;
-/**
- * Time for which a node is informed after its backend server has left the list:
- * it still serves its callers.
- */
-const DEPARTED_TTL_MS = 30_000;
+/** Time for which a node is informed after it asked. */
+const ASKER_TTL_MS = 3_000;
 
 /** Creates a broadcast. */
 export function createBroadcast(config: BroadcastConfig): Broadcast {
   const { clock, gossip, peers, control } = config;
-  /** Control addresses of instances that left, with the time of leaving. */
-  const departedAt = new Map<string, number>();
+  /** Control addresses of nodes that asked, with the time of the latest. */
+  const askedAt = new Map<string, number>();
   let closed = false;
 
-  function departedAddresses(): readonly string[] {
+  function askers(): readonly string[] {
     const now = clock.now();
-    for (const [address, at] of departedAt) {
-      if (now - at > DEPARTED_TTL_MS) departedAt.delete(address);
+    for (const [address, at] of askedAt) {
+      if (now - at > ASKER_TTL_MS) askedAt.delete(address);
     }
-    return [...departedAt.keys()];
+    return [...askedAt.keys()];
   }
 
   /** Informs a peer; once more if its connection turns out to be dead. */
@@ -92,7 +92,7 @@
       }
       const news = gossip.takePending(clock.now());
       if (news.length === 0) return;
-      informAll([...local, ...departedAddresses(), ...addresses], news);
+      informAll([...local, ...askers(), ...addresses], news);
       // Other data centres have readers of their own. If these fail, the news
       // is new to a node there, which then passes it on by gossip.
       clock.after(REMOTE_PUSH_DELAY_MS, () => {
@@ -100,10 +100,11 @@
         for (const peer of peers.sampleRemote()) control.push(peer, news);
       });
     },
-    recordDeparture: ({ dataCentre, control: address }) => {
-      if (dataCentre === config.dataCentre) {
-        departedAt.set(address, clock.now());
+    recordAsker: (address) => {
+      if (!askedAt.has(address) && askers().length >= INFORMED_PEERS_MAX) {
+        return;
       }
+      askedAt.set(address, clock.now());
     },
     close: () => {
       closed = true;
--- a/packages/node/src/agent/control_api.ts
+++ b/packages/node/src/agent/control_api.ts
@@ -33,6 +33,12 @@
   readonly position?: Position;
 }
 
+/** A comparison of the node at a control address. */
+export interface SourcedComparison extends Comparison, PlatformContact {
+  /** Absent if the node does not say where it is. */
+  readonly source?: string;
+}
+
 /** Handlers of the control messages, which the agent provides. */
 export interface ControlHandler {
   readonly identity: () => Identity;
@@ -42,7 +48,7 @@
   readonly inform: (news: readonly News[]) => void;
   /** Answers a peer's anti-entropy comparison with what differs. */
   readonly compare: (
-    comparison: Comparison & PlatformContact,
+    comparison: SourcedComparison,
   ) => ComparisonReply & PlatformContact;
   /** Receives the control address of a node that has just read the platform. */
   readonly offer: (source: string) => void;
@@ -128,16 +134,18 @@
         readerAgeMs: z.number().nonnegative().optional(),
         knowledgeAgeMs: z.number().nonnegative().optional(),
         position: POSITION_SCHEMA.optional(),
+        source: z.string().max(ADDRESS_MAX_LENGTH).optional(),
       }))
       .mutation(({ input }) => {
-        const { settled, recent, readerAgeMs, knowledgeAgeMs, position } =
-          input;
+        const { settled, recent, ...sender } = input;
+        const { readerAgeMs, knowledgeAgeMs, position, source } = sender;
         return handler.compare({
           settled,
           recent: readNews(recent),
           ...(readerAgeMs === undefined ? {} : { readerAgeMs }),
           ...(knowledgeAgeMs === undefined ? {} : { knowledgeAgeMs }),
           ...(position === undefined ? {} : { position }),
+          ...(source === undefined ? {} : { source }),
         });
       }),
     offer: trpc.procedure
--- a/packages/node/src/agent/control_client.ts
+++ b/packages/node/src/agent/control_client.ts
@@ -1,6 +1,6 @@
 /** Client for the control listeners of other nodes. */
 
-import type { Comparison, ComparisonReply, News } from "@coltsfootdeal/policy";
+import type { ComparisonReply, News } from "@coltsfootdeal/policy";
 import { Buffer } from "node:buffer";
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { err, ok, type Result } from "neverthrow";
@@ -11,6 +11,7 @@
   Identity,
   PlatformContact,
   PulledValue,
+  SourcedComparison,
 } from "./control_api.ts";
 
 /** The node did not reply in time, or replied with an error. */
@@ -34,7 +35,7 @@
   ) => Promise<Result<void, ControlError>>;
   readonly compare: (
     address: string,
-    comparison: Comparison & PlatformContact,
+    comparison: SourcedComparison,
   ) => Promise<Result<ComparisonReply & PlatformContact, ControlError>>;
   readonly offer: (
     address: string,
