--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -448,14 +448,6 @@
     if (peer !== undefined) compareWith(peer);
   }
 
-  /** The nodes of its own data centre ask a reader; it asks others. */
-  function compareAsReader(): void {
-    if (!feed.active()) return;
-    const remote = drawPeer(peers.sampleRemote());
-    if (remote === undefined) compareWithRandomPeer();
-    else compareWith(remote);
-  }
-
   /**
    * Draws the peers that this node asks whether its knowledge is current. When
    * the first did not help, any peer is asked as well.
@@ -544,7 +536,7 @@
       applyNews([createOwnFactNews()]);
       timers.push(
         clock.every(GOSSIP_PUSH_PERIOD_MS, pushRecentNews),
-        clock.every(ANTI_ENTROPY_PERIOD_MS, compareAsReader),
+        clock.every(ANTI_ENTROPY_PERIOD_MS, compareWithRandomPeer),
       );
       bootstrap().then(() => {
         if (closed) return;
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -137,11 +137,7 @@
 export const GOSSIP_PUSH_ROUNDS = 3;
 /** Period of the push rounds. */
 export const GOSSIP_PUSH_PERIOD_MS = 200;
-/**
- * Period of the anti-entropy comparisons of a reader with a random peer, of
- * another data centre if there is one. Other nodes compare when they ask
- * whether their knowledge is current.
- */
+/** Period of the anti-entropy comparisons with a random peer. */
 export const ANTI_ENTROPY_PERIOD_MS = 2_000;
 /** Age from which news is settled: compared by hash instead of in full. */
 export const SETTLED_AFTER_MS = 2_000;
