--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -421,18 +421,26 @@
       source: ownControlAddress,
     });
     if (reply.isErr()) return false;
-    knowledge.recordContact(reply.value);
-    applyNews(reply.value.recent, { from: peer });
-    if (reply.value.buckets === undefined) {
-      knowledge.recordComparison(reply.value, { peer, sentAt });
+    const { recent, buckets, truncated, ...contact } = reply.value;
+
+    /** Takes over the age of the peer's knowledge, which is all here now. */
+    function recordKnown(): void {
+      if (truncated === true) return;
+      knowledge.recordComparison(contact, { peer, sentAt });
+    }
+
+    knowledge.recordContact(contact);
+    applyNews(recent, { from: peer });
+    if (buckets === undefined) {
+      recordKnown();
       return true;
     }
-    const ownNews = gossip.differing(reply.value.buckets, clock.now());
+    const ownNews = gossip.differing(buckets, clock.now());
     const hashes = gossip.buckets(clock.now());
     const peerNews = await control.differing(peer, hashes);
     if (peerNews.isErr()) return false;
     applyNews(peerNews.value, { from: peer });
-    knowledge.recordComparison(reply.value, { peer, sentAt });
+    recordKnown();
     if (ownNews.length > 0) {
       await control.push(peer, ownNews.slice(0, COMPARE_PUSH_NEWS_MAX));
     }
--- a/packages/policy/src/__tests__/spread_test.ts
+++ b/packages/policy/src/__tests__/spread_test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { expect, test } from "vitest";
-import { SETTLED_AFTER_MS } from "../constants.ts";
+import { GOSSIP_MESSAGE_ITEMS_MAX, SETTLED_AFTER_MS } from "../constants.ts";
 import { createGossipState, type GossipState } from "../spread.ts";
 
 function createSeededRandom(seed: number): () => number {
@@ -96,3 +96,18 @@
   b.pushRound([1], { now: 1_001, random: () => 0 });
   expect(b.find("fact/x")).toBeUndefined();
 });
+
+test("a reply tells whether there is more recent news than it can hold", () => {
+  const state = createGossipState();
+  const news = Array.from({ length: GOSSIP_MESSAGE_ITEMS_MAX }, (_, index) => ({
+    topic: `instance/${index}`,
+    version: 1,
+    digest: "d",
+  }));
+  const nothing = { settled: 0, recent: [] };
+  state.receive(news.slice(1), 0);
+  expect(state.reply(nothing, 0).truncated).toBeUndefined();
+  state.receive(news, 0);
+  expect(state.reply(nothing, 0).truncated).toBe(true);
+  expect(state.reply(nothing, SETTLED_AFTER_MS).truncated).toBeUndefined();
+});
--- a/packages/policy/src/spread.ts
+++ b/packages/policy/src/spread.ts
@@ -48,6 +48,8 @@
   readonly recent: readonly News[];
   /** Hash per bucket of topics; present if the settled news differs. */
   readonly buckets?: readonly number[];
+  /** Whether there is more recent news than one message may hold. */
+  readonly truncated?: boolean;
 }
 
 /** How news is received. */
@@ -232,14 +234,17 @@
     compare: (now) => ({ settled: settledHash(now), recent: recent(now) }),
     reply: (comparison, now) => {
       const peerNews = new Map(comparison.recent.map((n) => [n.topic, n]));
-      const own = recent(now).filter((news) => {
+      const all = recent(now);
+      const own = all.filter((news) => {
         const other = peerNews.get(news.topic);
         return !other || compareVersions(news, other) > 0;
       });
       const settledMatch = settledHash(now) === comparison.settled;
-      return settledMatch
-        ? { recent: own }
-        : { recent: own, buckets: bucketHashes(now) };
+      return {
+        recent: own,
+        ...(settledMatch ? {} : { buckets: bucketHashes(now) }),
+        ...(all.length < GOSSIP_MESSAGE_ITEMS_MAX ? {} : { truncated: true }),
+      };
     },
     buckets: bucketHashes,
     differing: (buckets, now) => {
