--- a/packages/node/src/__tests__/byte_buffer_test.ts
+++ b/packages/node/src/__tests__/byte_buffer_test.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import fc from "fast-check";
 import { expect, test } from "vitest";
-import { createByteBuffer } from "../byte_buffer.ts";
+import { createByteBuffer, createSegmentPool } from "../byte_buffer.ts";
 
 test("bytes come back in order, whatever the pieces", () => {
   const pieces = fc.array(
@@ -11,8 +11,10 @@
     ),
     { maxLength: 20 },
   );
+  // Shared, so that what was left in a segment shows.
+  const pool = createSegmentPool(256 * 1024);
   fc.assert(fc.property(pieces, (drawn) => {
-    const buffer = createByteBuffer();
+    const buffer = createByteBuffer(pool);
     const all = drawn.map(([piece, times]) =>
       Buffer.concat(Array.from({ length: times }, () => piece))
     );
@@ -50,3 +52,32 @@
   expect(bytes.buffer).not.toBe(read.buffer);
   expect(bytes.buffer.byteLength).toBeLessThanOrEqual(1024);
 });
+
+// Guards against discarded bodies that pile up until the garbage collector runs:
+// a backend server that sends bytes without end outruns it.
+test("discarded bodies leave no memory to collect", () => {
+  const piece = Buffer.alloc(64 * 1024, 1);
+  const pool = createSegmentPool(2 * 1024 * 1024);
+  const before = process.memoryUsage().arrayBuffers;
+  for (let round = 0; round < 256; round++) {
+    const buffer = createByteBuffer(pool);
+    for (let count = 0; count < 16; count++) buffer.append(piece);
+    buffer.clear();
+    expect(buffer.size()).toBe(0);
+  }
+  const grown = process.memoryUsage().arrayBuffers - before;
+  expect(grown).toBeLessThan(2 * 1024 * 1024);
+});
+
+test("bytes that were taken are not overwritten by later bodies", () => {
+  const pool = createSegmentPool(1024 * 1024);
+  for (const size of [10, 64 * 1024, 65 * 1024, 300 * 1024]) {
+    const first = createByteBuffer(pool);
+    first.append(Buffer.alloc(size, 1));
+    const bytes = first.take();
+    first.clear();
+    const second = createByteBuffer(pool);
+    second.append(Buffer.alloc(2 * size, 2));
+    expect(bytes.equals(Buffer.alloc(size, 1))).toBe(true);
+  }
+});
--- a/packages/node/src/byte_buffer.ts
+++ b/packages/node/src/byte_buffer.ts
@@ -13,29 +13,65 @@
   readonly size: () => number;
   /** Returns all bytes and empties the buffer. */
   readonly take: () => Buffer;
+  /** Empties the buffer. */
+  readonly clear: () => void;
 }
 
-/** Size of the first segment, in bytes. */
+/**
+ * Segments of full size for several buffers. Segments that a buffer returns are
+ * used again at once: a stream of bodies that are discarded would allocate
+ * faster than the garbage collector frees.
+ */
+export interface SegmentPool {
+  /** Returns a segment with any content. */
+  readonly take: () => Buffer;
+  /** Returns a segment to the pool. It must not be used after that. */
+  readonly release: (segment: Buffer) => void;
+}
+
+/** Size of the first segment of a buffer, in bytes. */
 const SEGMENT_MIN_BYTES = 1024;
 /** Largest size of a segment, in bytes. */
 const SEGMENT_MAX_BYTES = 64 * 1024;
 
-/** Creates an empty buffer. */
-export function createByteBuffer(): ByteBuffer {
+/** Creates an empty pool, which keeps at most `maxBytes` of free segments. */
+export function createSegmentPool(maxBytes: number): SegmentPool {
+  const freeMax = Math.floor(maxBytes / SEGMENT_MAX_BYTES);
+  const free: Buffer[] = [];
+  return {
+    take: () => free.pop() ?? Buffer.allocUnsafeSlow(SEGMENT_MAX_BYTES),
+    release: (segment) => {
+      if (free.length < freeMax) free.push(segment);
+    },
+  };
+}
+
+/** Creates an empty buffer; its large segments come from `pool`. */
+export function createByteBuffer(pool = createSegmentPool(0)): ByteBuffer {
   /** Segments that are full. */
   let full: Buffer[] = [];
-  let segment = Buffer.alloc(0);
+  let segment: Buffer = Buffer.alloc(0);
   let used = 0;
   let fullBytes = 0;
 
   function grow(pieceBytes: number): void {
     if (used > 0) full.push(segment);
     fullBytes += used;
-    const sizes = [SEGMENT_MIN_BYTES, 2 * segment.length, pieceBytes];
-    segment = Buffer.allocUnsafeSlow(
-      Math.min(SEGMENT_MAX_BYTES, Math.max(...sizes)),
-    );
+    const bytes = Math.max(SEGMENT_MIN_BYTES, 2 * segment.length, pieceBytes);
+    segment = bytes < SEGMENT_MAX_BYTES
+      ? Buffer.allocUnsafeSlow(bytes)
+      : pool.take();
+    used = 0;
+  }
+
+  function clear(): void {
+    for (const each of [...full, segment]) {
+      if (each.length === SEGMENT_MAX_BYTES) pool.release(each);
+    }
+    full = [];
+    segment = Buffer.alloc(0);
     used = 0;
+    fullBytes = 0;
   }
 
   return {
@@ -51,12 +87,12 @@
     size: () => fullBytes + used,
     take: () => {
       const last = segment.subarray(0, used);
+      // A single segment is handed over, so it does not go back to the pool.
+      if (full.length === 0) segment = Buffer.alloc(0);
       const bytes = full.length === 0 ? last : Buffer.concat([...full, last]);
-      full = [];
-      segment = Buffer.alloc(0);
-      used = 0;
-      fullBytes = 0;
+      clear();
       return bytes;
     },
+    clear,
   };
 }
--- a/packages/node/src/http_client.ts
+++ b/packages/node/src/http_client.ts
@@ -9,7 +9,7 @@
 // not used here: 0.8 MB to parse at each start.
 import buildConnector from "undici/lib/core/connect.js";
 import Agent from "undici/lib/dispatcher/agent.js";
-import { createByteBuffer } from "./byte_buffer.ts";
+import { createByteBuffer, createSegmentPool } from "./byte_buffer.ts";
 import {
   CLIENT_KEEP_ALIVE_MS,
   CONNECT_TIMEOUT_MS,
@@ -136,6 +136,7 @@
   const connectionEnd: ConnectionEnd = { current: false };
   /** Size of the incomplete bodies of all responses, in bytes. */
   let bufferedBytes = 0;
+  const pool = createSegmentPool(RESPONSE_BUFFER_MAX_BYTES);
   const agent = new Agent({
     pipelining: 1,
     connect: createConnector(connectionEnd),
@@ -150,7 +151,7 @@
     return new Promise((resolve) => {
       let status = 0;
       let headers: Record<string, string> | undefined;
-      const responseBody = createByteBuffer();
+      const responseBody = createByteBuffer(pool);
       let isSettled = false;
       let controller: Dispatcher.DispatchController | undefined;
 
@@ -162,7 +163,7 @@
       function settle(result: HttpResult): void {
         signal?.removeEventListener("abort", abort);
         bufferedBytes -= responseBody.size();
-        responseBody.take();
+        responseBody.clear();
         isSettled = true;
         resolve(result);
       }
