--- a/packages/policy/src/__tests__/freshness_test.ts
+++ b/packages/policy/src/__tests__/freshness_test.ts
@@ -10,7 +10,7 @@
 
 /** Time in which a change must be in force, in ms. */
 const CHANGE_APPLY_MS = 2_000;
-/** Part of it that is left for the read itself and the changes it returns. */
+/** Part of CHANGE_APPLY_MS that is left for the read itself and the changes it returns. */
 const READ_MS = 300;
 
 const draws = fc.double({ min: 0, max: 1, maxExcluded: true, noNaN: true });
@@ -19,6 +19,8 @@
   readonly freshness: ReturnType<typeof createFreshness>;
   readonly asks: readonly number[];
   readonly reads: readonly number[];
+  /** Largest age of the knowledge, in ms. */
+  readonly oldestMs: number;
 }
 
 /** Follows the decisions of a node from its last confirmation at 0. */
@@ -28,6 +30,8 @@
     readonly untilMs: number;
     /** Called at each ask. */
     readonly onAsk?: (freshness: Run["freshness"], now: number) => void;
+    /** Called at each read. */
+    readonly onRead?: (now: number) => void;
     /** Whether the platform answers. */
     readonly answers?: boolean;
   },
@@ -36,7 +40,9 @@
   freshness.confirm(0);
   const asks: number[] = [];
   const reads: number[] = [];
+  let oldestMs = 0;
   for (let now = 0; now <= options.untilMs;) {
+    oldestMs = Math.max(oldestMs, freshness.ageMs(now) ?? Infinity);
     const action = freshness.decide(now);
     if (action.kind === "ask") {
       asks.push(now);
@@ -44,12 +50,13 @@
     }
     if (action.kind === "read") {
       reads.push(now);
+      options.onRead?.(now);
       freshness.recordRead(options.answers ?? true, now);
       if (options.answers ?? true) freshness.confirm(now);
     }
     now += Math.max(1, action.nextMs);
   }
-  return { freshness, asks, reads };
+  return { freshness, asks, reads, oldestMs };
 }
 
 test("a node whose peers are silent reads before a change must apply", () => {
@@ -82,6 +89,28 @@
   ));
 });
 
+// Guards against nodes that ask each other in a circle: each answer is a little
+// newer than what the node knew, and the platform is never read.
+test("a node that gains a little from every ask reads in time", () => {
+  fc.assert(fc.property(
+    draws,
+    fc.integer({ min: 0, max: 1_000 }),
+    (draw, gainMs) => {
+      let knownAt = 0;
+      const { oldestMs } = run({
+        draw,
+        untilMs: 20_000,
+        onAsk: (freshness, now) => {
+          knownAt = Math.min(now, knownAt + gainMs);
+          freshness.confirm(knownAt);
+        },
+        onRead: (now) => knownAt = now,
+      });
+      expect(oldestMs).toBeLessThanOrEqual(CHANGE_APPLY_MS - READ_MS);
+    },
+  ));
+});
+
 test("while a reader tries in vain, the others leave the platform to it", () => {
   const { asks, reads } = run({
     draw: 0.5,
--- a/packages/policy/src/freshness.ts
+++ b/packages/policy/src/freshness.ts
@@ -61,7 +61,7 @@
   const startedAt = options.now;
   let confirmedAt: number | undefined;
   let contactAt: number | undefined;
-  /** Spread of the age at which this node reads, drawn for each period. */
+  /** Spread of the age at which this node reads, drawn for each period of asks. */
   let spreadMs = random() * KNOWLEDGE_READ_SPREAD_MS;
   let firstAskAt: number | undefined;
   let lastAskAt = -Infinity;
@@ -94,14 +94,19 @@
     contactAt = Math.max(contactAt ?? -Infinity, at);
   }
 
+  /** Forgets the asks, once the knowledge is recent. */
+  function endPeriod(): void {
+    if (firstAskAt === undefined) return;
+    firstAskAt = undefined;
+    attempt = 0;
+    spreadMs = random() * KNOWLEDGE_READ_SPREAD_MS;
+  }
+
   return {
     confirm: (at) => {
       recordContact(at);
       if (confirmedAt !== undefined && at <= confirmedAt) return;
       confirmedAt = at;
-      firstAskAt = undefined;
-      attempt = 0;
-      spreadMs = random() * KNOWLEDGE_READ_SPREAD_MS;
     },
     recordContact,
     recordDelay: (delayMs) => {
@@ -119,6 +124,9 @@
     contactAgeMs: (now) =>
       contactAt === undefined ? undefined : now - contactAt,
     decide: (now) => {
+      // What is confirmed but still old does not end the period: a node may
+      // gain a little from each ask.
+      if (now - (confirmedAt ?? startedAt) < KNOWLEDGE_ASK_AGE_MS) endPeriod();
       if (now >= readDueAt()) {
         // Until `recordRead` tells how it ended.
         nextReadAt = now + KNOWLEDGE_READ_RETRY_MAX_MS;
