--- a/packages/node/src/agent/__tests__/knowledge_test.ts
+++ b/packages/node/src/agent/__tests__/knowledge_test.ts
@@ -1,6 +1,6 @@
 /** Changes of the platform apply in time, whichever nodes are lost. */
 
-import { resolveRanking } from "@coltsfootdeal/policy";
+import { READERS_PER_DATA_CENTRE, resolveRanking } from "@coltsfootdeal/policy";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
@@ -13,6 +13,8 @@
 
 /** Time in which a configuration must be in force, in ms. */
 const CONFIGURATION_APPLY_MS = 2_000;
+/** Time in which an instance that leaves must be known, in ms. */
+const DRAIN_MS = 2_000;
 /** Three heartbeat intervals, after which the platform removes an entry. */
 const ENTRY_EXPIRY_MS = 4_500;
 const SEED = 20_261_205;
@@ -24,6 +26,10 @@
 const STORM_PERIOD_MS = 330;
 /** Store calls of one data centre in which all readers are replaced. */
 const REPLACEMENT_CALLS_MAX = 20;
+const READERS = READERS_PER_DATA_CENTRE;
+const OUTAGE_MS = 9_000;
+/** Shortest mean time between two calls of a node in an outage, in ms. */
+const READ_RETRY_MS = 3_000;
 const LARGE = { a: 65, b: 65, c: 65 };
 const SMALL = { a: 6, b: 4, c: 4 };
 
@@ -65,6 +71,24 @@
   return nodes.map((node) => appliedMs.get(node) ?? Infinity);
 }
 
+/** Drains an instance; returns the ms until no node sends requests to it. */
+async function measureDrainMs(
+  drained: VirtualNode,
+  nodes: readonly VirtualNode[],
+): Promise<number> {
+  expect(nodes.every((node) => node.usesUpstream(drained.id))).toBe(true);
+  fleet.drain(drained);
+  for (let ms = STEP_MS; ms <= 4 * DRAIN_MS; ms += STEP_MS) {
+    await fleet.clock.run(STEP_MS);
+    if (!nodes.some((node) => node.usesUpstream(drained.id))) return ms;
+  }
+  return Infinity;
+}
+
+function countStoreCalls(nodes: readonly VirtualNode[]): number {
+  return nodes.reduce((sum, node) => sum + node.storeCalls(), 0);
+}
+
 function readers(): readonly VirtualNode[] {
   return fleet.left().filter(({ agent }) => agent.status().reader);
 }
@@ -144,6 +168,74 @@
   expect(fleet.storeCalls() - calls).toBeLessThan(callsMax);
 });
 
+// Guards against nodes that leave the platform to readers which are cut off
+// from it.
+test.each<[string, number, Readonly<Record<string, number>>, number]>([
+  ["readers", READERS, SMALL, 0],
+  ["readers", READERS, SMALL, 3_000],
+  ["readers and standbys", 2 * READERS, SMALL, 0],
+  ["readers and standbys", 2 * READERS, SMALL, 3_000],
+  ["readers and standbys", 2 * READERS, LARGE, 0],
+  ["readers and standbys", 2 * READERS, LARGE, 3_000],
+])(
+  "%s (%i a data centre) cut off from the store delay no change of %j, after %i ms",
+  async (
+    _who,
+    count,
+    counts,
+    afterMs,
+  ) => {
+    await startFleet(counts);
+    const cutOff = Object.keys(counts).flatMap((dataCentre) =>
+      lastReadersFirst(dataCentre).slice(-count)
+    );
+    fleet.cutOffStore(cutOff);
+    await fleet.clock.run(afterMs);
+    const others = fleet.left().filter((node) => !cutOff.includes(node));
+    const calls = countStoreCalls(others);
+    const appliedMs = await measureApplyMs(2, others);
+    expect(Math.max(...appliedMs)).toBeLessThan(CONFIGURATION_APPLY_MS);
+    const callsMax = REPLACEMENT_CALLS_MAX * Object.keys(counts).length;
+    expect(countStoreCalls(others) - calls).toBeLessThan(callsMax);
+  },
+);
+
+// Guards against nodes that send requests to an instance that is leaving while
+// nobody reads the platform for them.
+test.each<[string, Loss | "cut off"]>([
+  ["lost (refused)", "refused"],
+  ["lost (silent)", "silent"],
+  ["cut off from the store", "cut off"],
+])("an instance that leaves gets no requests though the readers are %s", async (
+  _name,
+  how,
+) => {
+  await startFleet(SMALL);
+  const [drained] = lastReadersFirst("a");
+  const affected = readers();
+  if (how === "cut off") fleet.cutOffStore(affected);
+  else fleet.lose(affected, how);
+  const others = fleet.left().filter((node) => !affected.includes(node));
+  expect(await measureDrainMs(drained!, others)).toBeLessThan(DRAIN_MS);
+});
+
+// Guards against a store that is called more than it can bear, at a price for
+// each call, while it refuses everyone.
+test("while the store refuses all nodes, each calls it rarely", async () => {
+  await startFleet(LARGE);
+  // The standbys become readers meanwhile.
+  const others = Object.keys(LARGE).flatMap((dataCentre) =>
+    lastReadersFirst(dataCentre).slice(0, -2 * READERS)
+  );
+  const calls = others.map((node) => node.storeCalls());
+  fleet.cutOffStore(fleet.nodes);
+  await fleet.clock.run(OUTAGE_MS);
+  for (const [index, node] of others.entries()) {
+    const made = node.storeCalls() - calls[index]!;
+    expect(made).toBeLessThanOrEqual(1 + OUTAGE_MS / READ_RETRY_MS);
+  }
+});
+
 test("a whole data centre that is lost delays no other", async () => {
   await startFleet(LARGE);
   fleet.lose(lastReadersFirst("a"), "silent");
--- a/packages/node/src/agent/__tests__/virtual_fleet.ts
+++ b/packages/node/src/agent/__tests__/virtual_fleet.ts
@@ -99,6 +99,8 @@
   readonly agent: Agent;
   /** Version of the configuration in force; 0 without one. */
   readonly version: () => number;
+  /** Whether this node may send requests to the instance. */
+  readonly usesUpstream: (id: string) => boolean;
   /** Calls of this node to the store. */
   readonly storeCalls: () => number;
 }
@@ -110,9 +112,13 @@
   /** Nodes that were not lost. */
   readonly left: () => readonly VirtualNode[];
   readonly lose: (nodes: readonly VirtualNode[], how: Loss) => void;
+  /** Cuts nodes off from the store; their peers still reach them. */
+  readonly cutOffStore: (nodes: readonly VirtualNode[]) => void;
   /** Starts the agent of a machine whose entry is listed, or not. */
   readonly start: (id: string, dataCentre: string) => VirtualNode;
   readonly list: (node: { readonly id: string }) => void;
+  /** Lists an instance as leaving. */
+  readonly drain: (node: { readonly id: string }) => void;
   readonly removeEntry: (node: { readonly id: string }) => void;
   /** Writes a version of the configuration to the store. */
   readonly publish: (version: number) => void;
@@ -152,16 +158,24 @@
   }
 
   /** A reader whose calls arrive and return after the latency. */
-  function createReader(onCall: () => void): StoreReader {
+  function createReader(
+    options: {
+      readonly onCall: () => void;
+      /** Aborted when the connection to the store is lost for good. */
+      readonly connection: AbortSignal;
+    },
+  ): StoreReader {
+    const { connection } = options;
+
     function call(
       signal: AbortSignal,
       handle: (reply: (page: StorePage) => void) => void,
     ): Promise<Result<StorePage, StoreError>> {
-      calls++;
-      onCall();
+      options.onCall();
       return new Promise((resolve) => {
         function finish(result: Result<StorePage, StoreError>): void {
           signal.removeEventListener("abort", abort);
+          connection.removeEventListener("abort", abort);
           resolve(result);
         }
 
@@ -169,7 +183,13 @@
           finish(err({ kind: "unreachable", reason: "aborted" }));
         }
 
+        if (connection.aborted) {
+          clock.after(2 * LATENCY_MS, abort);
+          return;
+        }
+        calls++;
         signal.addEventListener("abort", abort);
+        connection.addEventListener("abort", abort);
         clock.after(LATENCY_MS, () => {
           handle((page) => {
             clock.after(LATENCY_MS, () => finish(ok(page)));
@@ -238,6 +258,7 @@
   const dataCentres = Object.keys(counts);
   const agents = new Map<string, Agent>();
   const losses = new Map<string, Loss>();
+  const connections = new Map<string, AbortController>();
   const nodes: VirtualNode[] = [];
   const hosts = new Map<string, { readonly ip: string; dataCentre: string }>();
 
@@ -296,7 +317,9 @@
     };
   }
 
-  function createEntry(id: string): Omit<PlatformInstance, "revision"> {
+  function createEntry(
+    id: string,
+  ): Omit<PlatformInstance, "revision" | "state"> {
     const { ip, dataCentre } = hosts.get(id)!;
     return {
       id,
@@ -304,14 +327,16 @@
       dataCentre,
       address: `${ip}:1`,
       control: `${ip}:2`,
-      state: "live",
     };
   }
 
-  function list({ id }: { readonly id: string }): void {
+  function list(
+    { id }: { readonly id: string },
+    state: PlatformInstance["state"] = "live",
+  ): void {
     store.put(`servers/${id}`, (revision) => ({
       kind: "instance",
-      instance: { ...createEntry(id), revision },
+      instance: { ...createEntry(id), state, revision },
     }));
   }
 
@@ -320,6 +345,8 @@
     const address = `${ip}:2`;
     const bundles = createVersionStore();
     const others = dataCentres.filter((other) => other !== dataCentre);
+    const connection = new AbortController();
+    connections.set(id, connection);
     let calls = 0;
     const settings: Partial<AgentConfig["settings"]> = {
       instance: id,
@@ -331,20 +358,27 @@
       seeds: [],
       backendFrom: "instance_list",
     };
+    const router = createRouter({
+      nodeId: id,
+      dataCentres: [dataCentre, ...others],
+    });
     const agent = createAgent({
       settings: settings as AgentConfig["settings"],
       incarnation: `1700000000000-${id}`,
       clock,
       audit: { record: () => {} } as unknown as AgentConfig["audit"],
       store: bundles,
-      router: createRouter({ nodeId: id, dataCentres: [dataCentre] }),
+      router,
       suspects: createSuspects(),
       createFeed: (sinks) =>
         createKeyValueFeed({
           ...sinks,
           clock,
-          reader: store.createReader(() => {
-            calls++;
+          reader: store.createReader({
+            onCall: () => {
+              calls++;
+            },
+            connection: connection.signal,
           }),
           onEraChange: () => {},
           onForeignEntry: () => {},
@@ -361,6 +395,10 @@
       dataCentre,
       agent,
       version: () => bundles.inForce(FLEET_SCOPE)?.version ?? 0,
+      usesUpstream: (upstream) =>
+        router.snapshot(clock.now()).some((known) =>
+          known.upstream.id === upstream && !known.leaving
+        ),
       storeCalls: () => calls,
     };
     nodes.push(node);
@@ -398,8 +436,12 @@
         node.agent.close();
       }
     },
+    cutOffStore: (nodes) => {
+      for (const { id } of nodes) connections.get(id)?.abort();
+    },
     start,
-    list,
+    list: (node) => list(node),
+    drain: (node) => list(node, "leaving"),
     removeEntry: ({ id }) =>
       store.put(`servers/${id}`, (revision) => ({
         kind: "removed",
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -183,8 +183,11 @@
 export const KNOWLEDGE_FIRST_READ_MS = 2_400;
 /** Time before such a read is tried again; doubles with each failure. */
 export const KNOWLEDGE_READ_RETRY_MS = 500;
-/** Longest time between two such reads that fail. */
-export const KNOWLEDGE_READ_RETRY_MAX_MS = 8_000;
+/**
+ * Longest time between two such reads that fail. A platform that works again
+ * must be noticed before it counts as stable and a change must apply.
+ */
+export const KNOWLEDGE_READ_RETRY_MAX_MS = 4_000;
 /** Nodes that draw the same sources in a large data centre, for each source. */
 export const SOURCE_FANOUT = 32;
 /** Time after its start for which a node only lists instances to find peers. */
--- a/packages/policy/src/freshness.ts
+++ b/packages/policy/src/freshness.ts
@@ -36,7 +36,10 @@
 export interface Freshness {
   /** Records that every change up to `at` is known. */
   readonly confirm: (at: number) => void;
-  /** Records that some node read the platform, or tried to, at `at`. */
+  /**
+   * Records that some node read the platform, or tried to, at `at`. It makes
+   * the reads that follow a failed one rare; it does not stand for a read.
+   */
   readonly recordContact: (at: number) => void;
   /**
    * Records that this process was held up for `delayMs`, so that answers to its
@@ -66,20 +69,29 @@
   let firstAskAt: number | undefined;
   let lastAskAt = -Infinity;
   let attempt = 0;
-  let nextReadAt = -Infinity;
+  let lastReadAt = -Infinity;
+  let retryMs = 0;
   let failedReads = 0;
 
   /** Time from which this node reads the platform; asks come first. */
   function readDueAt(): number {
-    const unheardSince = Math.max(
-      confirmedAt ?? -Infinity,
-      contactAt ?? -Infinity,
-    );
-    const dueAt = unheardSince === -Infinity
+    const dueAt = confirmedAt === undefined
       ? startedAt + KNOWLEDGE_FIRST_READ_MS
-      : unheardSince + KNOWLEDGE_READ_AGE_MS;
+      : confirmedAt + KNOWLEDGE_READ_AGE_MS;
     const askedUntil = (firstAskAt ?? Infinity) + KNOWLEDGE_ASK_PATIENCE_MS;
-    return Math.max(dueAt + spreadMs, askedUntil, nextReadAt);
+    return Math.max(dueAt + spreadMs, askedUntil, retryDueAt());
+  }
+
+  /**
+   * Time from which a failed read is tried again. If others try meanwhile, they
+   * notice first that the platform works again. They may be the only ones that
+   * it does not answer, so this node does not leave it to them for good.
+   */
+  function retryDueAt(): number {
+    const otherTries = contactAt !== undefined &&
+      contactAt >= lastReadAt - KNOWLEDGE_READ_AGE_MS;
+    const waitsLong = failedReads > 0 && otherTries;
+    return lastReadAt + (waitsLong ? KNOWLEDGE_READ_RETRY_MAX_MS : retryMs);
   }
 
   function askDueAt(): number {
@@ -118,7 +130,8 @@
         KNOWLEDGE_READ_RETRY_MAX_MS,
         KNOWLEDGE_READ_RETRY_MS * 2 ** Math.max(0, failedReads - 1),
       );
-      nextReadAt = isOk ? -Infinity : now + waitMs * (0.5 + random() / 2);
+      lastReadAt = now;
+      retryMs = isOk ? 0 : waitMs * (0.75 + random() / 4);
     },
     ageMs: (now) => confirmedAt === undefined ? undefined : now - confirmedAt,
     contactAgeMs: (now) =>
@@ -129,7 +142,8 @@
       if (now - (confirmedAt ?? startedAt) < KNOWLEDGE_ASK_AGE_MS) endPeriod();
       if (now >= readDueAt()) {
         // Until `recordRead` tells how it ended.
-        nextReadAt = now + KNOWLEDGE_READ_RETRY_MAX_MS;
+        lastReadAt = now;
+        retryMs = KNOWLEDGE_READ_RETRY_MAX_MS;
         const ageMs = now - (confirmedAt ?? startedAt);
         return { kind: "read", ageMs, nextMs: KNOWLEDGE_ASK_RETRY_MS };
       }
