--- a/packages/node/src/agent/knowledge.ts
+++ b/packages/node/src/agent/knowledge.ts
@@ -42,7 +42,7 @@
     request: { readonly peer: string; readonly sentAt: number },
   ) => void;
   /** Handles the offer of a peer that has just read the platform. */
-  readonly receiveOffer: (source: string) => void;
+  readonly receiveOffer: (peer: string) => void;
   readonly close: () => void;
 }
 
@@ -158,10 +158,10 @@
       if (knowledgeAgeMs < RECENT_AGE_MAX_MS) source = peer;
       freshness.confirm(sentAt - knowledgeAgeMs);
     },
-    receiveOffer: (source) => {
+    receiveOffer: (peer) => {
       observeFeed();
       const ageMs = freshness.ageMs(clock.now()) ?? Infinity;
-      if (ageMs >= RECENT_AGE_MAX_MS) config.compareWith(source);
+      if (ageMs >= RECENT_AGE_MAX_MS) config.compareWith(peer);
     },
     close: () => {
       closed = true;
--- a/packages/node/src/http_client.ts
+++ b/packages/node/src/http_client.ts
@@ -160,6 +160,11 @@
         settle({ kind: "aborted" });
       }
 
+      function takeBody(): Buffer {
+        bufferedBytes -= responseBody.size();
+        return responseBody.take();
+      }
+
       function settle(result: HttpResult): void {
         signal?.removeEventListener("abort", abort);
         bufferedBytes -= responseBody.size();
@@ -216,9 +221,7 @@
           const isCutOff = connectionEnd.current &&
             "transfer-encoding" in headers;
           if (isCutOff) return settle({ kind: "truncated" });
-          bufferedBytes -= responseBody.size();
-          const body = responseBody.take();
-          settle({ kind: "response", status, headers, body });
+          settle({ kind: "response", status, headers, body: takeBody() });
         },
         onResponseError: (_controller, error) => {
           if (signal?.aborted) return settle({ kind: "aborted" });
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -169,9 +169,9 @@
 /** Shortest time for which a node asks peers before it reads the platform. */
 export const KNOWLEDGE_ASK_PATIENCE_MS = 350;
 /**
- * Age from which a node that hears of no reader reads the platform itself. With
- * the spread and the time of the read it is below the time in which a change
- * must apply, 2 s on the platforms that we know.
+ * Age from which a node reads the platform itself. With the spread and the time
+ * of the read it is below the time in which a change must apply, 2 s on the
+ * platforms that we know.
  */
 export const KNOWLEDGE_READ_AGE_MS = 1_250;
 /**
