--- a/packages/node/src/__tests__/endless_test.ts
+++ b/packages/node/src/__tests__/endless_test.ts
@@ -4,6 +4,10 @@
 import { createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
+import {
+  INFORMATIONAL_ANSWERS_MAX,
+  RESPONSE_SMALL_PIECES_MAX,
+} from "../constants.ts";
 import { createHttpClient, type HttpClient } from "../http_client.ts";
 
 /** Deadline of a request, in ms. */
@@ -77,6 +81,18 @@
   server.close();
 });
 
+/** Sends a request that gets an answer with an end; returns the result's kind. */
+async function ask(bytes: string): Promise<string> {
+  answer = [bytes, ""];
+  const { port } = server.address() as AddressInfo;
+  const result = await client.send({
+    origin: `http://127.0.0.1:${port}`,
+    path: "/",
+    method: "GET",
+  });
+  return result.kind;
+}
+
 for (const [name, bytes] of Object.entries(ANSWERS)) {
   test(`a request ends in time and in bounded memory: endless ${name}`, async () => {
     answer = bytes;
@@ -114,3 +130,24 @@
     await expect.poll(() => endless.size, { timeout: 2_000 }).toBe(0);
   });
 }
+
+// Guards against answers in tiny pieces that take the processor time of others.
+test.each([
+  ["whole", RESPONSE_SMALL_PIECES_MAX, "response"],
+  ["cut", RESPONSE_SMALL_PIECES_MAX + 1, "truncated"],
+])("a body in small pieces comes %s: %i pieces", async (_how, count, kind) => {
+  const chunks = "1\r\nx\r\n".repeat(count);
+  expect(await ask(`${CHUNKED_HEAD}${chunks}0\r\n\r\n`)).toBe(kind);
+});
+
+test.each([
+  ["whole", INFORMATIONAL_ANSWERS_MAX, "response"],
+  ["cut", INFORMATIONAL_ANSWERS_MAX + 1, "lost"],
+])(
+  "an answer after informational ones comes %s: %i",
+  async (_how, count, kind) => {
+    const informational = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(count);
+    const final = `${OK_HEAD}content-length: 2\r\n\r\nok`;
+    expect(await ask(`${informational}${final}`)).toBe(kind);
+  },
+);
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -55,6 +55,15 @@
 export const RESPONSE_BODY_MAX_BYTES = 16 * 1024 * 1024;
 /** Bytes of incomplete response bodies that one HTTP client holds in total. */
 export const RESPONSE_BUFFER_MAX_BYTES = 64 * 1024 * 1024;
+/** Size below which a piece of a response body counts as small. */
+export const RESPONSE_SMALL_PIECE_BYTES = 64;
+/**
+ * Small pieces of one response body that the HTTP client reads. Each costs about
+ * as much processor time as a large one, which other requests have to wait for.
+ */
+export const RESPONSE_SMALL_PIECES_MAX = 16 * 1024;
+/** Informational answers (status 1xx) that the HTTP client reads for a request. */
+export const INFORMATIONAL_ANSWERS_MAX = 32;
 /** Idle time after which the HTTP client closes a connection. */
 export const CLIENT_KEEP_ALIVE_MS = 30_000;
 /** Longest time that the platform holds a watch request open. */
--- a/packages/node/src/http_client.ts
+++ b/packages/node/src/http_client.ts
@@ -13,8 +13,11 @@
 import {
   CLIENT_KEEP_ALIVE_MS,
   CONNECT_TIMEOUT_MS,
+  INFORMATIONAL_ANSWERS_MAX,
   RESPONSE_BODY_MAX_BYTES,
   RESPONSE_BUFFER_MAX_BYTES,
+  RESPONSE_SMALL_PIECE_BYTES,
+  RESPONSE_SMALL_PIECES_MAX,
 } from "./constants.ts";
 import type { HeaderFields } from "./payload.ts";
 
@@ -152,6 +155,8 @@
       let status = 0;
       let headers: Record<string, string> | undefined;
       const responseBody = createByteBuffer(pool);
+      let smallPieces = 0;
+      let informationalAnswers = 0;
       let isSettled = false;
       let controller: Dispatcher.DispatchController | undefined;
 
@@ -186,7 +191,12 @@
           if (signal?.aborted) requestController.abort(new Error("aborted"));
         },
         onResponseStart: (_controller, statusCode, head) => {
-          if (statusCode < 200) return;
+          if (statusCode < 200) {
+            if (++informationalAnswers <= INFORMATIONAL_ANSWERS_MAX) return;
+            settle({ kind: "lost" });
+            controller?.abort(new Error("too many informational answers"));
+            return;
+          }
           status = statusCode;
           headers = flattenHeaders(head);
           if (isMatchingResponse?.(headers) === false) {
@@ -206,7 +216,9 @@
           if (isSettled) return;
           responseBody.append(chunk);
           bufferedBytes += chunk.length;
+          if (chunk.length < RESPONSE_SMALL_PIECE_BYTES) smallPieces++;
           if (
+            smallPieces > RESPONSE_SMALL_PIECES_MAX ||
             responseBody.size() > RESPONSE_BODY_MAX_BYTES ||
             bufferedBytes > RESPONSE_BUFFER_MAX_BYTES
           ) {
