--- a/packages/node/src/agent/__tests__/virtual_fleet.ts
+++ b/packages/node/src/agent/__tests__/virtual_fleet.ts
@@ -101,7 +101,7 @@
   readonly version: () => number;
   /** Whether this node may send requests to the instance. */
   readonly usesUpstream: (id: string) => boolean;
-  /** Calls of this node to the store. */
+  /** Calls of this node to the store, with those that did not reach it. */
   readonly storeCalls: () => number;
 }
 
@@ -122,7 +122,7 @@
   readonly removeEntry: (node: { readonly id: string }) => void;
   /** Writes a version of the configuration to the store. */
   readonly publish: (version: number) => void;
-  /** Calls to the store so far. */
+  /** Calls that reached the store so far. */
   readonly storeCalls: () => number;
   readonly close: () => void;
 }
--- a/packages/node/src/http_client.ts
+++ b/packages/node/src/http_client.ts
@@ -58,9 +58,9 @@
   }
   /** No byte of the request was sent. */
   | { readonly kind: "not_sent" }
-  /** The connection was lost before the response began. */
+  /** The connection was lost, or closed by a limit, before the response began. */
   | { readonly kind: "lost" }
-  /** The response is incomplete or too long, or its end can't be detected. */
+  /** The response is incomplete or beyond a limit, or has no detectable end. */
   | { readonly kind: "truncated" }
   /** The signal was aborted. */
   | { readonly kind: "aborted" };
@@ -155,6 +155,8 @@
       let status = 0;
       let headers: Record<string, string> | undefined;
       const responseBody = createByteBuffer(pool);
+      /** Bytes of this response that `bufferedBytes` includes. */
+      let receivedBytes = 0;
       let smallPieces = 0;
       let informationalAnswers = 0;
       let isSettled = false;
@@ -165,14 +167,10 @@
         settle({ kind: "aborted" });
       }
 
-      function takeBody(): Buffer {
-        bufferedBytes -= responseBody.size();
-        return responseBody.take();
-      }
-
       function settle(result: HttpResult): void {
         signal?.removeEventListener("abort", abort);
-        bufferedBytes -= responseBody.size();
+        bufferedBytes -= receivedBytes;
+        receivedBytes = 0;
         responseBody.clear();
         isSettled = true;
         resolve(result);
@@ -215,15 +213,16 @@
         onResponseData: (_controller, chunk) => {
           if (isSettled) return;
           responseBody.append(chunk);
+          receivedBytes += chunk.length;
           bufferedBytes += chunk.length;
           if (chunk.length < RESPONSE_SMALL_PIECE_BYTES) smallPieces++;
           if (
             smallPieces > RESPONSE_SMALL_PIECES_MAX ||
-            responseBody.size() > RESPONSE_BODY_MAX_BYTES ||
+            receivedBytes > RESPONSE_BODY_MAX_BYTES ||
             bufferedBytes > RESPONSE_BUFFER_MAX_BYTES
           ) {
             settle({ kind: "truncated" });
-            controller?.abort(new Error("response body is too long"));
+            controller?.abort(new Error("response body exceeds a limit"));
           }
         },
         onResponseEnd: () => {
@@ -233,7 +232,8 @@
           const isCutOff = connectionEnd.current &&
             "transfer-encoding" in headers;
           if (isCutOff) return settle({ kind: "truncated" });
-          settle({ kind: "response", status, headers, body: takeBody() });
+          const body = responseBody.take();
+          settle({ kind: "response", status, headers, body });
         },
         onResponseError: (_controller, error) => {
           if (signal?.aborted) return settle({ kind: "aborted" });
