feat(node): tell the age of what is known and who confirmed it

On-call could not tell a platform that is silent from one without changes: a node that waited on a dead connection showed nothing at all. Gauges for the age of the knowledge and for the time since the platform answered, and an audit event when knowledge that was old is confirmed, with its age and by whom.

No decision changes.

--- a/packages/node/src/admin/audit.ts
+++ b/packages/node/src/admin/audit.ts
@@ -17,6 +17,7 @@
   | "reader_started"
   | "reader_stopped"
   | "platform_checked"
+  | "knowledge_regained"
   | "news_malformed"
   | "platform_reachable"
   | "platform_unreachable"
--- a/packages/node/src/admin/metrics.ts
+++ b/packages/node/src/admin/metrics.ts
@@ -26,6 +26,10 @@
   readonly bundleVersion: () => number;
   readonly tickets: () => number;
   readonly instances: () => number;
+  /** Age in ms of what is known of the platform; undefined if unknown. */
+  readonly knowledgeAgeMs: () => number | undefined;
+  /** Time in ms since the platform answered; undefined before the first. */
+  readonly platformAnswerAgeMs: () => number | undefined;
   /** Whether this node reads the platform. */
   readonly reader: () => boolean;
 }
@@ -116,6 +120,16 @@
     "1 while this node watches the platform.",
     () => Number(source.reader()),
   );
+  addGauge(
+    "knowledge_age_seconds",
+    "Age of what this node knows of the platform; NaN if never confirmed.",
+    () => (source.knowledgeAgeMs() ?? NaN) / 1_000,
+  );
+  addGauge(
+    "platform_answer_age_seconds",
+    "Time since the platform answered this node; NaN before the first answer.",
+    () => (source.platformAnswerAgeMs() ?? NaN) / 1_000,
+  );
 
   return {
     observeCall: ({ service, kind, outcome, elapsedMs }) => {
--- a/packages/node/src/agent/__tests__/agent_test.ts
+++ b/packages/node/src/agent/__tests__/agent_test.ts
@@ -72,6 +72,7 @@
     confirmedAt: () => undefined,
     position: () => undefined,
     reachable: () => true,
+    answeredAt: () => undefined,
     close: () => {},
   };
   const settings: Partial<AgentConfig["settings"]> = {
--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -85,6 +85,13 @@
   readonly reader: boolean;
   /** Whether the platform answers; undefined if this node does not read it. */
   readonly platformReachable: boolean | undefined;
+  /** Time in ms since the platform answered; undefined before the first. */
+  readonly platformAnswerAgeMs: number | undefined;
+  /**
+   * Age in ms of what this node knows of the platform; undefined if it was
+   * never confirmed.
+   */
+  readonly knowledgeAgeMs: number | undefined;
   readonly instances: number;
   /** Number of topics in the gossip state. */
   readonly topics: number;
@@ -604,12 +611,17 @@
       );
     },
     listedId: () => listedId,
-    status: () => ({
-      reader: feed.active(),
-      platformReachable: feed.active() ? feed.reachable() : undefined,
-      instances: membership.all().length,
-      topics: gossip.size(),
-    }),
+    status: () => {
+      const answeredAt = feed.answeredAt();
+      return {
+        reader: feed.active(),
+        platformReachable: feed.active() ? feed.reachable() : undefined,
+        platformAnswerAgeMs: answeredAt && clock.now() - answeredAt,
+        knowledgeAgeMs: knowledge.ageMs(),
+        instances: membership.all().length,
+        topics: gossip.size(),
+      };
+    },
     close: () => {
       closed = true;
       bundleSync.close();
--- a/packages/node/src/agent/feed.ts
+++ b/packages/node/src/agent/feed.ts
@@ -50,6 +50,8 @@
   ) => Promise<Confirmation | undefined>;
   /** Time up to which all changes were read; undefined before the first. */
   readonly confirmedAt: () => number | undefined;
+  /** Time of the latest answer of the platform; undefined before the first. */
+  readonly answeredAt: () => number | undefined;
   /** Latest position that was read, if the platform has a single one. */
   readonly position: () => Position | undefined;
   readonly active: () => boolean;
--- a/packages/node/src/agent/feed_state.ts
+++ b/packages/node/src/agent/feed_state.ts
@@ -1,22 +1,29 @@
 /** Reachability of the platform and the backoff after errors, for all feeds. */
 
+import type { Clock } from "@coltsfootdeal/kernel";
 import { PLATFORM_ANSWER_MS, PLATFORM_RETRY_MIN_MS } from "../constants.ts";
 import type { FeedSinks } from "./feed.ts";
 
 /** Whether the last request to the platform was answered. */
 export interface Reachability {
   readonly get: () => boolean;
+  /** Time of the latest answer; undefined before the first. */
+  readonly answeredAt: () => number | undefined;
   readonly set: (reachable: boolean, reason: string) => void;
 }
 
 /** Creates a reachability that reports changes; unreachable at first. */
 export function createReachability(
+  clock: Clock,
   onChange: FeedSinks["onReachabilityChange"],
 ): Reachability {
   let reachable = false;
+  let answeredAt: number | undefined;
   return {
     get: () => reachable,
+    answeredAt: () => answeredAt,
     set: (next, reason) => {
+      if (next) answeredAt = clock.now();
       if (reachable === next) return;
       reachable = next;
       onChange(next, reason);
--- a/packages/node/src/agent/key_feed.ts
+++ b/packages/node/src/agent/key_feed.ts
@@ -110,7 +110,7 @@
   let abort: AbortController | undefined;
   let isListing = false;
   let latestEra: number | undefined;
-  const reachability = createReachability(config.onReachabilityChange);
+  const reachability = createReachability(clock, config.onReachabilityChange);
   const progress = createWatchProgress();
   let latest: Position | undefined;
 
@@ -350,6 +350,7 @@
     },
     active: () => abort !== undefined,
     reachable: reachability.get,
+    answeredAt: reachability.answeredAt,
     close: () => {
       abort?.abort();
       closing.abort();
--- a/packages/node/src/agent/knowledge.ts
+++ b/packages/node/src/agent/knowledge.ts
@@ -6,7 +6,7 @@
  */
 
 import type { Clock, Timer } from "@coltsfootdeal/kernel";
-import { createFreshness } from "@coltsfootdeal/policy";
+import { createFreshness, KNOWLEDGE_READ_AGE_MS } from "@coltsfootdeal/policy";
 import type { Audit } from "../admin/audit.ts";
 import type { PlatformContact } from "./control_api.ts";
 import type { Feed } from "./feed.ts";
@@ -29,6 +29,8 @@
 export interface Knowledge {
   /** Begins the checks of the age. */
   readonly start: () => void;
+  /** Age of the knowledge in ms; undefined if it was never confirmed. */
+  readonly ageMs: () => number | undefined;
   /** Age of the knowledge of this node, for a peer. */
   readonly contact: () => PlatformContact;
   /** Records what a peer has heard of readers. */
@@ -76,6 +78,17 @@
     }
   }
 
+  /** Records that `by` confirmed every change up to `at`. */
+  function confirm(at: number, by: string): void {
+    const now = clock.now();
+    const ageMs = freshness.ageMs(now);
+    freshness.confirm(at);
+    const isLate = ageMs !== undefined && ageMs >= KNOWLEDGE_READ_AGE_MS &&
+      now - at < KNOWLEDGE_READ_AGE_MS;
+    if (!isLate) return;
+    audit.record("knowledge_regained", { ageMs: Math.round(ageMs), by });
+  }
+
   /** Takes over what the feed has confirmed meanwhile. */
   function observeFeed(): void {
     if (!feed.active()) {
@@ -85,7 +98,7 @@
     freshness.recordContact(clock.now());
     const confirmedAt = feed.confirmedAt();
     if (confirmedAt === undefined) return;
-    freshness.confirm(confirmedAt);
+    confirm(confirmedAt, "platform");
     includePosition(feed.position());
     if (!hasOffered) config.offer();
     hasOffered = true;
@@ -108,7 +121,7 @@
     });
     freshness.recordRead(confirmation !== undefined, clock.now());
     if (confirmation === undefined) return;
-    freshness.confirm(confirmation.at);
+    confirm(confirmation.at, "platform");
     includePosition(confirmation.position);
     config.offer();
   }
@@ -138,6 +151,10 @@
 
   return {
     start: check,
+    ageMs: () => {
+      observeFeed();
+      return freshness.ageMs(clock.now());
+    },
     contact: () => {
       observeFeed();
       const now = clock.now();
@@ -156,7 +173,7 @@
       const { knowledgeAgeMs } = contact;
       if (knowledgeAgeMs === undefined) return;
       if (knowledgeAgeMs < RECENT_AGE_MAX_MS) source = peer;
-      freshness.confirm(sentAt - knowledgeAgeMs);
+      confirm(sentAt - knowledgeAgeMs, `peer ${peer}`);
     },
     receiveOffer: (peer) => {
       observeFeed();
--- a/packages/node/src/agent/platform_watch.ts
+++ b/packages/node/src/agent/platform_watch.ts
@@ -47,7 +47,7 @@
   const { clock, platform } = config;
   const closing = new AbortController();
   let abort: AbortController | undefined;
-  const reachability = createReachability(config.onReachabilityChange);
+  const reachability = createReachability(clock, config.onReachabilityChange);
   const valueProgress = createWatchProgress();
   const instanceProgress = createWatchProgress();
 
@@ -159,6 +159,7 @@
     position: () => undefined,
     active: () => abort !== undefined,
     reachable: reachability.get,
+    answeredAt: reachability.answeredAt,
     close: () => {
       abort?.abort();
       closing.abort();
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -233,6 +233,8 @@
     tickets: ticketed.size,
     instances: () => agent.status().instances,
     reader: () => agent.status().reader,
+    knowledgeAgeMs: () => agent.status().knowledgeAgeMs,
+    platformAnswerAgeMs: () => agent.status().platformAnswerAgeMs,
   });
 
   /** Counts a finished call; logs it unless it was answered. */
