fix(agent): only an answer of the platform confirms what a node knows

Cause: a watch that waits counted as a confirmation up to the present. On a connection that went silent this lasts until the watch times out, 5 to 9 s after it was sent, and after a change all watches are in step. Nothing that acts on the age of knowledge noticed, since the age was 0.1 s at every node.

Change: an answer confirms up to the time at which its request was sent. One reader of the fleet renews what is known each 0.75 to 0.85 s and tells the others; another takes over within 1.25 s. A watch that has not returned a change which is known from elsewhere is begun again. Calls to the platform use connections of their own. The native protocol's watches had the same fault.

--- a/packages/node/src/admin/audit.ts
+++ b/packages/node/src/admin/audit.ts
@@ -18,6 +18,7 @@
   | "reader_stopped"
   | "platform_checked"
   | "knowledge_regained"
+  | "watch_behind"
   | "news_malformed"
   | "platform_reachable"
   | "platform_unreachable"
--- a/packages/node/src/agent/__tests__/agent_test.ts
+++ b/packages/node/src/agent/__tests__/agent_test.ts
@@ -73,6 +73,7 @@
     position: () => undefined,
     reachable: () => true,
     answeredAt: () => undefined,
+    advance: () => {},
     close: () => {},
   };
   const settings: Partial<AgentConfig["settings"]> = {
--- a/packages/node/src/agent/__tests__/key_feed_test.ts
+++ b/packages/node/src/agent/__tests__/key_feed_test.ts
@@ -1,3 +1,4 @@
+import { setTimeout } from "node:timers/promises";
 import { createSystemClock, sleep } from "@coltsfootdeal/kernel";
 import { err, ok, type Result } from "neverthrow";
 import { afterEach, expect, test } from "vitest";
@@ -12,6 +13,7 @@
 import { orderOf, type Position } from "../position.ts";
 
 const BEFORE: Position = { era: 1, revision: 90 };
+const LATER: Position = { era: 1, revision: 96 };
 const RETURNED: Position = { era: 2, revision: 40 };
 const MORE_RETURNED: Position = { era: 2, revision: 120 };
 
@@ -36,11 +38,12 @@
   };
 }
 
-/** Runs a feed on scripted answers; the last watch of a script hangs. */
-function runFeed(script: readonly Answer[]) {
+/** Runs a feed on scripted answers; those that are undefined never come. */
+function runFeed(script: readonly (Answer | undefined)[]) {
   const queries: (StoreListQuery | { readonly after: number })[] = [];
   const instances = new Map<string, PlatformInstance>();
   const eras: number[] = [];
+  let behind = 0;
   let next = 0;
 
   async function answer(
@@ -77,12 +80,21 @@
     onListed: () => {},
     knownInstances: () =>
       [...instances.values()].filter(({ state }) => state !== "gone"),
+    onWatchBehind: () => {
+      behind++;
+    },
     onReachabilityChange: () => {},
     onEraChange: ({ era }) => eras.push(era),
     onForeignEntry: () => {},
   });
   feed.start();
-  return { queries, instances, eras, isDone: () => next > script.length };
+  return {
+    queries,
+    instances,
+    eras,
+    isDone: () => next > script.length,
+    behind: () => behind,
+  };
 }
 
 test("a watch that a later era answers is followed by a list that is up to date", async () => {
@@ -128,6 +140,58 @@
   expect(instances.has("i-2")).toBe(true);
 });
 
+// Guards against readers that take the silence of a dead connection for the
+// absence of changes (incident 29).
+test("a watch that waits confirms nothing", async () => {
+  const { isDone } = runFeed([ok({ changes: [entry("i-1", 80)] })]);
+  await expect.poll(isDone).toBe(true);
+  await setTimeout(250);
+  expect(feed.confirmedAt()).toBeUndefined();
+});
+
+test("a watch is given up if a change is known that it has not returned", async () => {
+  const hang = undefined;
+  const { queries, behind } = runFeed([
+    ok({ changes: [entry("i-1", 80)] }),
+    hang,
+    ok({ position: LATER, changes: [entry("i-2", 95)] }),
+  ]);
+  await expect.poll(() => queries.length).toBe(2);
+  await feed.check(BEFORE);
+  await expect.poll(() => queries.length).toBe(4);
+  expect(queries[3]).toMatchObject({ after: LATER.revision });
+  expect(feed.confirmedAt()).toBeDefined();
+  expect(behind()).toBe(1);
+});
+
+test("a watch is given up if peers know a later position", async () => {
+  const { queries, behind } = runFeed([
+    ok({ changes: [entry("i-1", 80)] }),
+    undefined,
+  ]);
+  await expect.poll(() => queries.length).toBe(2);
+  feed.advance(LATER);
+  await expect.poll(() => queries.length).toBe(3);
+  expect(queries[2]).toMatchObject({ after: LATER.revision });
+  expect(behind()).toBe(1);
+});
+
+test("a watch is given up if the store does not answer another read", async () => {
+  const { queries } = runFeed([
+    ok({ changes: [entry("i-1", 80)] }),
+    undefined,
+    err({ kind: "unreachable", reason: "no answer in time" }),
+    ok({ position: LATER, changes: [entry("i-2", 95)] }),
+  ]);
+  await expect.poll(() => queries.length).toBe(2);
+  expect(await feed.check(BEFORE)).toBeUndefined();
+  expect(feed.reachable()).toBe(false);
+  await expect.poll(() => queries.length).toBe(5);
+  // The read after a failure does not wait for a change.
+  expect(queries[3]).toMatchObject({ after: BEFORE.revision, waitMs: 0 });
+  expect(feed.reachable()).toBe(true);
+});
+
 test("positions of a later era are later, whatever their revision", () => {
   expect(orderOf(RETURNED)).toBeGreaterThan(orderOf(BEFORE));
   expect(orderOf(MORE_RETURNED)).toBeGreaterThan(orderOf(RETURNED));
--- a/packages/node/src/agent/__tests__/knowledge_test.ts
+++ b/packages/node/src/agent/__tests__/knowledge_test.ts
@@ -219,6 +219,56 @@
   expect(await measureDrainMs(drained!, others)).toBeLessThan(DRAIN_MS);
 });
 
+// Guards against watches that confirm what a node knows while their connections
+// are silent (incident 29).
+test.each<[Readonly<Record<string, number>>, number, number]>([
+  [SMALL, 0, 0],
+  [SMALL, 0, 3_000],
+  [SMALL, 700, 200],
+  [SMALL, 700, 3_000],
+  [SMALL, 3_000, 1_500],
+  [LARGE, 700, 200],
+  [LARGE, 700, 3_000],
+])(
+  "silent connections to the store delay no change (%j, silent %i ms after a change, the next after %i ms)",
+  async (counts, quietMs, silentMs) => {
+    await startFleet(counts);
+    await measureApplyMs(2);
+    await fleet.clock.run(quietMs);
+    fleet.silenceStore();
+    await fleet.clock.run(silentMs);
+    expect(Math.max(...await measureApplyMs(3)))
+      .toBeLessThan(CONFIGURATION_APPLY_MS);
+  },
+);
+
+test.each([0, 3_000])(
+  "an instance that leaves gets no requests though the connections to the store are silent for %i ms",
+  async (silentMs) => {
+    await startFleet(SMALL);
+    await measureApplyMs(2);
+    await fleet.clock.run(700);
+    fleet.silenceStore();
+    await fleet.clock.run(silentMs);
+    const [drained] = lastReadersFirst("a");
+    expect(await measureDrainMs(drained!, fleet.left())).toBeLessThan(DRAIN_MS);
+  },
+);
+
+test.each([0, 700, 3_000])(
+  "silent connections between nodes and to the store delay no change (%i ms)",
+  async (silentMs) => {
+    await startFleet(SMALL);
+    await measureApplyMs(2);
+    await fleet.clock.run(700);
+    fleet.silenceStore();
+    fleet.silencePeers();
+    await fleet.clock.run(silentMs);
+    expect(Math.max(...await measureApplyMs(3)))
+      .toBeLessThan(CONFIGURATION_APPLY_MS);
+  },
+);
+
 // Guards against a store that is called more than it can bear, at a price for
 // each call, while it refuses everyone.
 test("while the store refuses all nodes, each calls it rarely", async () => {
--- a/packages/node/src/agent/__tests__/virtual_fleet.ts
+++ b/packages/node/src/agent/__tests__/virtual_fleet.ts
@@ -11,7 +11,7 @@
   type ScopeVersion,
 } from "@coltsfootdeal/policy";
 import { err, ok, type Result } from "neverthrow";
-import { CONTROL_TIMEOUT_MS } from "../../constants.ts";
+import { CONTROL_TIMEOUT_MS, STORE_TIMEOUT_MS } from "../../constants.ts";
 import { type Agent, type AgentConfig, createAgent } from "../agent.ts";
 import type { BundleStore, OfferResult } from "../bundle_store.ts";
 import type { ControlClient } from "../control_client.ts";
@@ -114,6 +114,10 @@
   readonly lose: (nodes: readonly VirtualNode[], how: Loss) => void;
   /** Cuts nodes off from the store; their peers still reach them. */
   readonly cutOffStore: (nodes: readonly VirtualNode[]) => void;
+  /** Silences all open connections to the store; new ones work. */
+  readonly silenceStore: () => void;
+  /** Silences all open connections between nodes; new ones work. */
+  readonly silencePeers: () => void;
   /** Starts the agent of a machine whose entry is listed, or not. */
   readonly start: (id: string, dataCentre: string) => VirtualNode;
   readonly list: (node: { readonly id: string }) => void;
@@ -139,6 +143,8 @@
   const watchers = new Set<() => void>();
   let revision = 1;
   let calls = 0;
+  /** Number of times that the open connections went silent. */
+  let silences = 0;
 
   function put(key: string, change: StoredItem["change"]): void {
     revision++;
@@ -168,12 +174,21 @@
     const { connection } = options;
 
     function call(
-      signal: AbortSignal,
+      { signal, waitMs }: {
+        readonly signal: AbortSignal;
+        readonly waitMs: number;
+      },
       handle: (reply: (page: StorePage) => void) => void,
     ): Promise<Result<StorePage, StoreError>> {
       options.onCall();
+      const silencesBefore = silences;
       return new Promise((resolve) => {
+        const timer = clock.after(waitMs + STORE_TIMEOUT_MS, () => {
+          finish(err({ kind: "unreachable", reason: "no answer in time" }));
+        });
+
         function finish(result: Result<StorePage, StoreError>): void {
+          timer.close();
           signal.removeEventListener("abort", abort);
           connection.removeEventListener("abort", abort);
           resolve(result);
@@ -192,7 +207,9 @@
         connection.addEventListener("abort", abort);
         clock.after(LATENCY_MS, () => {
           handle((page) => {
-            clock.after(LATENCY_MS, () => finish(ok(page)));
+            clock.after(LATENCY_MS, () => {
+              if (silences === silencesBefore) finish(ok(page));
+            });
           });
         });
       });
@@ -200,9 +217,9 @@
 
     return {
       list: (_query, signal) =>
-        call(signal, (reply) => reply(answer(items.values()))),
+        call({ signal, waitMs: 0 }, (reply) => reply(answer(items.values()))),
       watch: ({ after, waitMs }, signal) =>
-        call(signal, (reply) => {
+        call({ signal, waitMs }, (reply) => {
           const pending = () => history.filter((i) => i.revision > after);
           if (pending().length > 0 || waitMs === 0) {
             return reply(answer(pending()));
@@ -219,7 +236,14 @@
     };
   }
 
-  return { put, createReader, calls: () => calls };
+  return {
+    put,
+    createReader,
+    calls: () => calls,
+    silence: () => {
+      silences++;
+    },
+  };
 }
 
 /** A bundle store that holds the version of one configuration. */
@@ -260,6 +284,8 @@
   const losses = new Map<string, Loss>();
   const connections = new Map<string, AbortController>();
   const nodes: VirtualNode[] = [];
+  /** Connections between nodes that were used, by both their ends. */
+  const peerConnections = new Map<string, "open" | "silent">();
   const hosts = new Map<string, { readonly ip: string; dataCentre: string }>();
 
   function hostOf(id: string, dataCentre: string) {
@@ -280,6 +306,13 @@
       const agent = agents.get(address);
       const timer = clock.after(CONTROL_TIMEOUT_MS, () => resolve(unreachable));
       const isLost = () => losses.get(address) ?? losses.get(from);
+      const connection = `${from} ${address}`;
+      if (peerConnections.get(connection) === "silent") {
+        // The timeout closes it, and the next call opens another one.
+        peerConnections.delete(connection);
+        return;
+      }
+      peerConnections.set(connection, "open");
       if (agent === undefined || isLost() === "refused") {
         clock.after(2 * LATENCY_MS, () => resolve(unreachable));
         return;
@@ -439,6 +472,12 @@
     cutOffStore: (nodes) => {
       for (const { id } of nodes) connections.get(id)?.abort();
     },
+    silenceStore: store.silence,
+    silencePeers: () => {
+      for (const connection of peerConnections.keys()) {
+        peerConnections.set(connection, "silent");
+      }
+    },
     start,
     list: (node) => list(node),
     drain: (node) => list(node, "leaving"),
--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -22,6 +22,7 @@
   type News,
   READERS_PER_DATA_CENTRE,
   type ReceiveOptions,
+  resolveRanking,
   resolveSources,
   type Router,
   STANDBY_READERS_PER_DATA_CENTRE,
@@ -183,6 +184,8 @@
   const timers: { readonly close: () => void }[] = [];
   /** Revision of the list entry of each instance that is not gone. */
   const revisions = new Map<string, number>();
+  /** Result of `rankedReaders`; undefined once the members have changed. */
+  let readerAddresses: readonly string[] | undefined;
   let bootstrapped = seeds.length === 0;
   let closed = false;
 
@@ -195,6 +198,7 @@
         ...listed,
         revision: revisions.get(listed.id) ?? 0,
       })),
+    onWatchBehind: () => audit.record("watch_behind"),
     onReachabilityChange: (reachable, reason) => {
       const event = reachable ? "platform_reachable" : "platform_unreachable";
       audit.record(event, { reason });
@@ -219,12 +223,10 @@
     feed,
     compareWith,
     drawPeers: drawSources,
-    offer: () => {
-      const local = peers.local();
-      const receivers = local.length > OFFERED_PEERS_MAX
-        ? peers.sample()
-        : local;
-      for (const peer of receivers) control.offer(peer, ownControlAddress);
+    offer: (receivers) => {
+      for (const peer of drawOfferReceivers(receivers)) {
+        control.offer(peer, ownControlAddress);
+      }
     },
   });
 
@@ -392,6 +394,7 @@
 
   function refreshRoutes(): void {
     const now = clock.now();
+    readerAddresses = undefined;
     for (const service of membership.services()) {
       const upstreams = membership.upstreams(service, now).filter(
         ({ id, startedAt }) => !notices.isLeaving({ id, startedAt }),
@@ -482,6 +485,29 @@
     return [source ?? [], drawPeer(others) ?? []].flat();
   }
 
+  /** Control addresses of the nodes that are to read the platform, by rank. */
+  function rankedReaders(): readonly string[] {
+    return settings.dataCentres.flatMap((dataCentre) =>
+      resolveRanking(membership.members(dataCentre), { hashKey: dataCentre })
+        .slice(0, READERS_PER_DATA_CENTRE)
+        .map((member) => member.control)
+    );
+  }
+
+  function drawOfferReceivers(
+    receivers: "readers" | "data_centre",
+  ): readonly string[] {
+    switch (receivers) {
+      case "readers":
+        readerAddresses ??= rankedReaders();
+        return readerAddresses.filter((a) => a !== ownControlAddress);
+      case "data_centre": {
+        const local = peers.local();
+        return local.length > OFFERED_PEERS_MAX ? peers.sample() : local;
+      }
+    }
+  }
+
   /**
    * Compares with seeds, for at most a random time, before this node may read
    * the platform, so that nodes that start together do not all read it at once.
--- a/packages/node/src/agent/feed.ts
+++ b/packages/node/src/agent/feed.ts
@@ -24,6 +24,11 @@
   readonly onListed: () => void;
   /** Instances that the node knows from any source, without those gone. */
   readonly knownInstances: () => readonly PlatformInstance[];
+  /**
+   * Called when a read that waits for changes is given up, since the node knows
+   * of a change that it has not returned.
+   */
+  readonly onWatchBehind: () => void;
   /** Called when the platform becomes reachable or unreachable. */
   readonly onReachabilityChange: (reachable: boolean, reason: string) => void;
 }
@@ -48,8 +53,14 @@
   readonly check: (
     known: Position | undefined,
   ) => Promise<Confirmation | undefined>;
-  /** Time up to which all changes were read; undefined before the first. */
+  /**
+   * Time at which the latest read was sent that was answered; all changes up to
+   * it were read. Undefined before the first. A read that waits for changes
+   * confirms nothing while it waits, since its connection may be dead.
+   */
   readonly confirmedAt: () => number | undefined;
+  /** Records that the node knows all changes up to a position from peers. */
+  readonly advance: (position: Position) => void;
   /** Time of the latest answer of the platform; undefined before the first. */
   readonly answeredAt: () => number | undefined;
   /** Latest position that was read, if the platform has a single one. */
--- a/packages/node/src/agent/feed_state.ts
+++ b/packages/node/src/agent/feed_state.ts
@@ -1,7 +1,7 @@
 /** Reachability of the platform and the backoff after errors, for all feeds. */
 
-import type { Clock } from "@coltsfootdeal/kernel";
-import { PLATFORM_ANSWER_MS, PLATFORM_RETRY_MIN_MS } from "../constants.ts";
+import type { Clock, Timer } from "@coltsfootdeal/kernel";
+import { PLATFORM_RETRY_MIN_MS, WATCH_BEHIND_MAX_MS } from "../constants.ts";
 import type { FeedSinks } from "./feed.ts";
 
 /** Whether the last request to the platform was answered. */
@@ -31,39 +31,57 @@
   };
 }
 
-/** Progress of calls that wait for changes. All times are in ms. */
-export interface WatchProgress {
-  /** Records that a call which waits for changes was sent. */
-  readonly recordWait: (now: number) => void;
-  /** Records the end of that call without an answer. */
-  readonly recordFailure: () => void;
-  /** Records an answer to a call that was sent at `sentAt`. */
-  readonly recordAnswer: (sentAt: number, now: number) => void;
-  /** Time up to which all changes are known; undefined before the first. */
-  readonly confirmedAt: (now: number) => number | undefined;
+/**
+ * Ends a call that waits for changes although one is known from elsewhere: its
+ * connection does not carry answers any more.
+ */
+export interface WatchGuard {
+  /** Begins a call after a position; its signal ends it. */
+  readonly begin: (after: number) => AbortSignal;
+  /** Records that the call has ended. */
+  readonly end: () => void;
+  /** Records that all changes up to a position are known. */
+  readonly advance: (position: number) => void;
+  /** Ends the call at once; no effect if none is waiting. */
+  readonly interrupt: () => void;
 }
 
-/** Creates a progress without any answer. */
-export function createWatchProgress(): WatchProgress {
-  let waitsSince: number | undefined;
-  let answeredAt: number | undefined;
+/** Creates a guard of no call. `onBehind` is called when it ends one. */
+export function createWatchGuard(
+  clock: Clock,
+  onBehind: () => void,
+): WatchGuard {
+  let after = 0;
+  let call: AbortController | undefined;
+  let timer: Timer | undefined;
+
+  function end(): void {
+    timer?.close();
+    timer = undefined;
+    call = undefined;
+  }
+
+  function interrupt(): void {
+    call?.abort();
+    end();
+  }
+
   return {
-    recordWait: (now) => {
-      waitsSince = now;
-    },
-    recordFailure: () => {
-      waitsSince = undefined;
-    },
-    recordAnswer: (sentAt, now) => {
-      waitsSince = undefined;
-      answeredAt = Math.max(sentAt, now - PLATFORM_ANSWER_MS);
+    begin: (position) => {
+      end();
+      after = position;
+      call = new AbortController();
+      return call.signal;
     },
-    confirmedAt: (now) => {
-      // The platform answers as soon as there is a change.
-      const waited = now - PLATFORM_ANSWER_MS;
-      const hasWaited = waitsSince !== undefined && waited >= waitsSince;
-      return hasWaited ? waited : answeredAt;
+    end,
+    advance: (position) => {
+      if (call === undefined || position <= after) return;
+      timer ??= clock.after(WATCH_BEHIND_MAX_MS, () => {
+        onBehind();
+        interrupt();
+      });
     },
+    interrupt,
   };
 }
 
--- a/packages/node/src/agent/key_feed.ts
+++ b/packages/node/src/agent/key_feed.ts
@@ -21,7 +21,7 @@
 } from "./feed.ts";
 import {
   createReachability,
-  createWatchProgress,
+  createWatchGuard,
   drawRetryDelay,
 } from "./feed_state.ts";
 import { orderOf, type Position } from "./position.ts";
@@ -55,6 +55,9 @@
   /** The history after the requested revision was compacted. */
   | { readonly kind: "compacted" };
 
+/** Why a watch ended without an answer that continues the history. */
+type WatchError = StoreError | { readonly kind: "interrupted" };
+
 /** Which page of a list is read. */
 export interface StoreListQuery {
   /** Key after which the page begins; undefined for the first page. */
@@ -96,7 +99,7 @@
 
 /**
  * Draws the wait of a watch. Readers of a fleet draw it independently, so that
- * connections which went silent together are noticed one after the other.
+ * they do not call the store all at once.
  */
 function drawWatchWait(): number {
   return Math.round(STORE_WATCH_WAIT_MS * (0.5 + Math.random() / 2));
@@ -111,8 +114,24 @@
   let isListing = false;
   let latestEra: number | undefined;
   const reachability = createReachability(clock, config.onReachabilityChange);
-  const progress = createWatchProgress();
+  const guard = createWatchGuard(clock, config.onWatchBehind);
+  /** Position up to which this node knows all changes. */
   let latest: Position | undefined;
+  let confirmedAt: number | undefined;
+
+  function isLatest(position: Position): boolean {
+    return latest === undefined || orderOf(position) > orderOf(latest);
+  }
+
+  /** Takes over a position up to which all changes are known. */
+  function advanceTo(position: Position): void {
+    if (isLatest(position)) latest = position;
+    guard.advance(orderOf(position));
+  }
+
+  function confirm(sentAt: number): void {
+    confirmedAt = Math.max(confirmedAt ?? sentAt, sentAt);
+  }
 
   function observeEra({ era, revision }: Position): void {
     if (latestEra !== undefined && era > latestEra) {
@@ -218,7 +237,7 @@
   ): Promise<Result<Position, StoreError>> {
     const sentAt = clock.now();
     const listed = await list(signal, allowsStale);
-    if (listed.isOk() && !allowsStale) progress.recordAnswer(sentAt, sentAt);
+    if (listed.isOk() && !allowsStale) confirm(sentAt);
     return listed;
   }
 
@@ -226,27 +245,44 @@
    * Reads what changed since `known`, and everything if the store no longer has
    * that history.
    */
-  async function check(
+  async function readChanges(
     known: Position | undefined,
-  ): Promise<Confirmation | undefined> {
+  ): Promise<Result<Position, StoreError>> {
     const { signal } = closing;
-    const at = clock.now();
     if (known !== undefined) {
       const query = { after: known.revision, waitMs: 0 };
       const result = await reader.watch(query, signal);
-      if (signal.aborted) return undefined;
-      if (result.isOk()) {
-        const { position } = result.value;
-        const eraError = compareEras(position, known);
-        if (eraError === undefined) {
-          apply(result.value);
-          return { at, position };
-        }
-        if (eraError.kind !== "compacted") return undefined;
-      } else if (result.error.kind !== "compacted") return undefined;
+      if (signal.aborted) return ok(known);
+      const error = result.isErr()
+        ? result.error
+        : compareEras(result.value.position, known);
+      if (result.isOk() && error === undefined) {
+        apply(result.value);
+        return ok(result.value.position);
+      }
+      if (error !== undefined && error.kind !== "compacted") return err(error);
+    }
+    return await list(signal, false);
+  }
+
+  async function check(
+    known: Position | undefined,
+  ): Promise<Confirmation | undefined> {
+    const at = clock.now();
+    const read = await readChanges(known);
+    if (closing.signal.aborted) return undefined;
+    if (read.isOk()) {
+      confirm(at);
+      advanceTo(read.value);
+      return { at, position: read.value };
     }
-    const listed = await list(signal, false);
-    return listed.isOk() ? { at, position: listed.value } : undefined;
+    if (abort !== undefined) {
+      // The watch may wait on a connection that is as dead. Once it is ended,
+      // short reads tell when the store answers again.
+      reachability.set(false, formatError(read.error));
+      guard.interrupt();
+    }
+    return undefined;
   }
 
   /**
@@ -269,27 +305,27 @@
   }
 
   async function run(signal: AbortSignal): Promise<void> {
-    let position: Position | undefined;
     // A list after a compaction must include what the lost history held.
     let allowsStaleList = true;
     let failures = 0;
+    latest = undefined;
     while (!signal.aborted) {
-      const result = position === undefined
+      const result = latest === undefined
         ? await listAll(signal, allowsStaleList)
-        : await watch(position, signal);
+        : await watch(latest, signal);
       if (signal.aborted) return;
       if (result.isOk()) {
         failures = 0;
         reachability.set(true, "answered");
-        position = result.value;
-        latest = position;
+        advanceTo(result.value);
         continue;
       }
       if (result.error.kind === "compacted") {
-        position = undefined;
+        latest = undefined;
         allowsStaleList = false;
         continue;
       }
+      if (result.error.kind === "interrupted") continue;
       // A stale copy of the store may have answered.
       allowsStaleList = allowsStaleList && latestEra === undefined;
       failures++;
@@ -302,23 +338,27 @@
   async function watch(
     after: Position,
     signal: AbortSignal,
-  ): Promise<Result<Position, StoreError>> {
+  ): Promise<Result<Position, WatchError>> {
     // After an error the watch does not wait for a change, so that a store that
     // works again is noticed at once.
     const waitMs = reachability.get() ? drawWatchWait() : 0;
     const query = { after: after.revision, waitMs };
     const sentAt = clock.now();
-    progress.recordWait(sentAt);
-    const result = await reader.watch(query, signal);
-    progress.recordFailure();
+    const interruption = guard.begin(orderOf(after));
+    const result = await reader.watch(
+      query,
+      AbortSignal.any([signal, interruption]),
+    );
+    if (signal.aborted) return ok(after);
+    guard.end();
+    if (interruption.aborted) return err({ kind: "interrupted" });
     if (result.isErr()) return err(result.error);
     const { changes, position } = result.value;
-    if (signal.aborted) return ok(position);
     const eraError = compareEras(position, after);
     if (eraError !== undefined) return err(eraError);
     apply(result.value);
-    latest = position;
-    progress.recordAnswer(sentAt, clock.now());
+    advanceTo(position);
+    confirm(sentAt);
     // The pause collects changes in quick succession into one request.
     if (changes.length > 0) await sleep(clock, STORE_WATCH_PAUSE_MS, signal);
     return ok(position);
@@ -333,11 +373,17 @@
     stop: () => {
       abort?.abort();
       abort = undefined;
-      progress.recordFailure();
+      guard.end();
     },
     check,
-    confirmedAt: () => progress.confirmedAt(clock.now()),
+    confirmedAt: () => confirmedAt,
     position: () => latest,
+    advance: (position) => {
+      // Revisions of another era continue no watch; the store tells of it.
+      const continues = latest === undefined || latest.era === position.era;
+      if (continues) advanceTo(position);
+      else guard.advance(orderOf(position));
+    },
     readOnce: async () => {
       if (abort !== undefined || isListing) return;
       isListing = true;
@@ -354,6 +400,7 @@
     close: () => {
       abort?.abort();
       closing.abort();
+      guard.end();
       for (const timer of pendingRemovals.values()) timer.close();
     },
   };
--- a/packages/node/src/agent/knowledge.ts
+++ b/packages/node/src/agent/knowledge.ts
@@ -6,7 +6,11 @@
  */
 
 import type { Clock, Timer } from "@coltsfootdeal/kernel";
-import { createFreshness, KNOWLEDGE_READ_AGE_MS } from "@coltsfootdeal/policy";
+import {
+  createFreshness,
+  KNOWLEDGE_READ_AGE_MS,
+  type KnowledgeRole,
+} from "@coltsfootdeal/policy";
 import type { Audit } from "../admin/audit.ts";
 import type { PlatformContact } from "./control_api.ts";
 import type { Feed } from "./feed.ts";
@@ -21,8 +25,11 @@
   readonly compareWith: (peer: string) => Promise<boolean>;
   /** Draws the peers to ask; `attempt` counts those that did not help. */
   readonly drawPeers: (attempt: number) => readonly string[];
-  /** Tells peers that this node reads the platform, or has just read it. */
-  readonly offer: () => void;
+  /**
+   * Tells peers that this node reads the platform, or has just read it: those
+   * that read it too, or all of its data centre.
+   */
+  readonly offer: (receivers: "readers" | "data_centre") => void;
 }
 
 /** Age of what this node knows of the platform, and what keeps it low. */
@@ -64,6 +71,8 @@
   let position: Position | undefined;
   /** Control address of a peer whose knowledge was recent. */
   let source: string | undefined;
+  /** Time of a read that failed; undefined once one was answered. */
+  let failedReadAt: number | undefined;
   /** Whether peers were told that this node has become a reader. */
   let hasOffered = false;
   let timer: Timer | undefined;
@@ -76,6 +85,11 @@
     if (position === undefined || orderOf(next) > orderOf(position)) {
       position = next;
     }
+    feed.advance(position);
+  }
+
+  function currentRole(): KnowledgeRole {
+    return feed.active() ? "reader" : "member";
   }
 
   /** Records that `by` confirmed every change up to `at`. */
@@ -100,37 +114,50 @@
     if (confirmedAt === undefined) return;
     confirm(confirmedAt, "platform");
     includePosition(feed.position());
-    if (!hasOffered) config.offer();
+    if (failedReadAt !== undefined && confirmedAt > failedReadAt) {
+      failedReadAt = undefined;
+      freshness.recordRead(true, clock.now());
+    }
+    if (!hasOffered) config.offer("data_centre");
     hasOffered = true;
   }
 
-  /** Asks the peer that helped last, and others if it does not help again. */
+  /** Asks a source of this node; then the peer that helped last, and others. */
   function ask(attempt: number): void {
-    const latest = attempt === 0 ? source : undefined;
-    source = undefined;
-    const asked = latest === undefined ? config.drawPeers(attempt) : [latest];
+    const helped = attempt === 1 ? source : undefined;
+    if (attempt > 0) source = undefined;
+    const asked = new Set([helped ?? [], config.drawPeers(attempt)].flat());
     for (const peer of asked) config.compareWith(peer);
   }
 
   async function read(ageMs: number): Promise<void> {
-    const confirmation = await feed.check(position);
+    const role = currentRole();
+    // The feed calls a platform that does not answer until it does.
+    const isTrying = role === "reader" && !feed.reachable();
+    const confirmation = isTrying ? undefined : await feed.check(position);
     if (closed) return;
-    audit.record("platform_checked", {
-      ageMs: Math.round(ageMs),
-      answered: confirmation !== undefined,
-    });
-    freshness.recordRead(confirmation !== undefined, clock.now());
-    if (confirmation === undefined) return;
+    const answered = confirmation !== undefined;
+    // A reader renews what it knows all the time.
+    if (role === "member" || !answered && !isTrying) {
+      const age = Math.round(ageMs);
+      audit.record("platform_checked", { role, ageMs: age, answered });
+    }
+    const now = clock.now();
+    if (!answered) {
+      failedReadAt = now;
+      return freshness.recordRead(false, now);
+    }
     confirm(confirmation.at, "platform");
     includePosition(confirmation.position);
-    config.offer();
+    freshness.recordRead(true, now);
+    config.offer(role === "reader" ? "readers" : "data_centre");
   }
 
   function check(): void {
     observeFeed();
     const now = clock.now();
     if (now - dueAt >= DELAY_MIN_MS) freshness.recordDelay(now - dueAt);
-    const action = freshness.decide(now);
+    const action = freshness.decide(now, currentRole());
     switch (action.kind) {
       case "wait":
         break;
--- a/packages/node/src/agent/platform_client.ts
+++ b/packages/node/src/agent/platform_client.ts
@@ -110,7 +110,13 @@
   ): Promise<Result<PlatformChanges<z.output<Schema>>, PlatformError>> {
     const timeout = AbortSignal.timeout(options.timeoutMs);
     const signal = AbortSignal.any([options.signal, timeout]);
-    const end = await client.send({ origin, path, method: "GET", signal });
+    const end = await client.send({
+      origin,
+      path,
+      method: "GET",
+      signal,
+      closesConnection: true,
+    });
     if (end.kind !== "response" || end.status !== 200) {
       return err("unreachable");
     }
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -71,21 +71,20 @@
 /** Longest delay before the platform is asked again after an error. */
 export const PLATFORM_RETRY_MAX_MS = 10_000;
 /**
- * Time in which the platform answers a call that has not to wait. A call that
- * has waited for longer tells that there was no change up to this time ago.
+ * Time after which a call that waits for changes is ended, if a change is known
+ * from elsewhere that it has not returned.
  */
-export const PLATFORM_ANSWER_MS = 100;
+export const WATCH_BEHIND_MAX_MS = 300;
 /**
  * Base of the exponential backoff after errors of the platform or of a
  * key-value store.
  */
 export const PLATFORM_RETRY_MIN_MS = 200;
 /**
- * Longest time that a key-value store holds a watch request open. A connection
- * that fails without a reset is noticed after this plus STORE_TIMEOUT_MS by its
- * own reader; until then, the fleet depends on the other readers.
+ * Longest time that a key-value store holds a watch request open. What a reader
+ * knows is confirmed by other reads meanwhile.
  */
-export const STORE_WATCH_WAIT_MS = 8_000;
+export const STORE_WATCH_WAIT_MS = 30_000;
 /**
  * Pause after a change before the next watch of a store. The platform charges
  * for each call to the store, so one call should return several changes.
--- a/packages/node/src/http_client.ts
+++ b/packages/node/src/http_client.ts
@@ -31,6 +31,13 @@
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: Buffer;
   readonly signal?: AbortSignal;
+  /**
+   * Whether the connection is closed after the response. A client that sends
+   * only such requests to a server opens a connection for each of them, so none
+   * is sent on one that went silent while it was idle.
+   * @default false
+   */
+  readonly closesConnection?: boolean;
   /**
    * Returns false if the headers show that the response belongs to another
    * request. Every response is accepted by default.
@@ -183,6 +190,7 @@
         method: request.method as Dispatcher.HttpMethod,
         headers: request.headers ?? {},
         body: request.body?.length ? request.body : null,
+        ...(request.closesConnection === true ? { reset: true } : {}),
       }, {
         onRequestStart: (requestController) => {
           controller = requestController;
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -157,8 +157,29 @@
  * probe succeeds.
  */
 export const READER_SUSPECT_TTL_MS = 30_000;
-/** Age of a node's knowledge of the platform from which it asks peers. */
-export const KNOWLEDGE_ASK_AGE_MS = 900;
+/**
+ * Age of a node's knowledge of the platform from which it asks peers. By then a
+ * reader has renewed its own, so that one ask is enough.
+ */
+export const KNOWLEDGE_ASK_AGE_MS = 1_000;
+/**
+ * Age from which the reader that read the platform last reads it again. Knowledge
+ * is that old when it reaches the other nodes, so it is below the age from which
+ * they ask.
+ */
+export const KNOWLEDGE_RENEW_AGE_MS = 750;
+/**
+ * Longest random addition to that age, so that of several readers which renew
+ * what is known at the same time only one goes on.
+ */
+export const KNOWLEDGE_RENEW_SPREAD_MS = 100;
+/**
+ * Age from which another reader takes over from one that does not renew what is
+ * known. The difference covers the read and the messages that tell of it.
+ */
+export const KNOWLEDGE_TAKEOVER_AGE_MS = 950;
+/** Longest random addition to that age, so that one reader takes over. */
+export const KNOWLEDGE_TAKEOVER_SPREAD_MS = 300;
 /** Time after which the next peer is asked if the first did not help. */
 export const KNOWLEDGE_ASK_RETRY_MS = 200;
 /**
@@ -167,18 +188,18 @@
  */
 export const KNOWLEDGE_QUICK_ASKS_MAX = 5;
 /** Shortest time for which a node asks peers before it reads the platform. */
-export const KNOWLEDGE_ASK_PATIENCE_MS = 350;
+export const KNOWLEDGE_ASK_PATIENCE_MS = 300;
 /**
  * Age from which a node reads the platform itself. With the spread and the time
  * of the read it is below the time in which a change must apply, 2 s on the
  * platforms that we know.
  */
-export const KNOWLEDGE_READ_AGE_MS = 1_250;
+export const KNOWLEDGE_READ_AGE_MS = 1_300;
 /**
  * Longest random addition to that age. The first node to read tells its peers,
  * so that the nodes that lost their readers together do not all read.
  */
-export const KNOWLEDGE_READ_SPREAD_MS = 400;
+export const KNOWLEDGE_READ_SPREAD_MS = 350;
 /** Time after its start at which a node that hears nothing reads itself. */
 export const KNOWLEDGE_FIRST_READ_MS = 2_400;
 /** Time before such a read is tried again; doubles with each failure. */
--- a/packages/policy/src/freshness.ts
+++ b/packages/policy/src/freshness.ts
@@ -15,6 +15,10 @@
   KNOWLEDGE_READ_RETRY_MAX_MS,
   KNOWLEDGE_READ_RETRY_MS,
   KNOWLEDGE_READ_SPREAD_MS,
+  KNOWLEDGE_RENEW_AGE_MS,
+  KNOWLEDGE_RENEW_SPREAD_MS,
+  KNOWLEDGE_TAKEOVER_AGE_MS,
+  KNOWLEDGE_TAKEOVER_SPREAD_MS,
   SOURCE_FANOUT,
 } from "./constants.ts";
 import type { Random } from "./random.ts";
@@ -32,6 +36,9 @@
   /** Reads the platform; `ageMs` is the age of the knowledge. */
   | { readonly kind: "read"; readonly ageMs: number; readonly nextMs: number };
 
+/** Whether a node watches the platform for its data centre. */
+export type KnowledgeRole = "reader" | "member";
+
 /** Age of the knowledge of one node. All times are on the node's own clock. */
 export interface Freshness {
   /** Records that every change up to `at` is known. */
@@ -46,14 +53,14 @@
    * asks may not have been read yet.
    */
   readonly recordDelay: (delayMs: number) => void;
-  /** Records the end of a read that `decide` asked for. */
+  /** Records the end of a read that `decide` asked for, or of the feed's. */
   readonly recordRead: (isOk: boolean, now: number) => void;
   /** Age in ms of the knowledge; undefined if it was never confirmed. */
   readonly ageMs: (now: number) => number | undefined;
   /** Time in ms since the latest contact; undefined without one. */
   readonly contactAgeMs: (now: number) => number | undefined;
   /** Decides what to do, and records that it is done. */
-  readonly decide: (now: number) => FreshnessAction;
+  readonly decide: (now: number, role: KnowledgeRole) => FreshnessAction;
 }
 
 /** Creates the freshness of a node that knows nothing at its start. */
@@ -64,22 +71,39 @@
   const startedAt = options.now;
   let confirmedAt: number | undefined;
   let contactAt: number | undefined;
-  /** Spread of the age at which this node reads, drawn for each period of asks. */
-  let spreadMs = random() * KNOWLEDGE_READ_SPREAD_MS;
+  /**
+   * Part of the spread of the age at which this node reads, in [0, 1); drawn for
+   * each period of asks and after each read.
+   */
+  let spread = random();
   let firstAskAt: number | undefined;
   let lastAskAt = -Infinity;
   let attempt = 0;
   let lastReadAt = -Infinity;
   let retryMs = 0;
   let failedReads = 0;
+  /** Whether this node's own read was the latest confirmation. */
+  let renews = false;
 
-  /** Time from which this node reads the platform; asks come first. */
-  function readDueAt(): number {
-    const dueAt = confirmedAt === undefined
-      ? startedAt + KNOWLEDGE_FIRST_READ_MS
-      : confirmedAt + KNOWLEDGE_READ_AGE_MS;
-    const askedUntil = (firstAskAt ?? Infinity) + KNOWLEDGE_ASK_PATIENCE_MS;
-    return Math.max(dueAt + spreadMs, askedUntil, retryDueAt());
+  /** Time from which this node reads the platform. */
+  function readDueAt(role: KnowledgeRole): number {
+    switch (role) {
+      case "reader": {
+        const ageMs = renews
+          ? KNOWLEDGE_RENEW_AGE_MS + spread * KNOWLEDGE_RENEW_SPREAD_MS
+          : KNOWLEDGE_TAKEOVER_AGE_MS + spread * KNOWLEDGE_TAKEOVER_SPREAD_MS;
+        return Math.max((confirmedAt ?? startedAt) + ageMs, retryDueAt());
+      }
+      case "member": {
+        const dueAt = confirmedAt === undefined
+          ? startedAt + KNOWLEDGE_FIRST_READ_MS
+          : confirmedAt + KNOWLEDGE_READ_AGE_MS;
+        const spreadMs = spread * KNOWLEDGE_READ_SPREAD_MS;
+        // Asks come first.
+        const askedUntil = (firstAskAt ?? Infinity) + KNOWLEDGE_ASK_PATIENCE_MS;
+        return Math.max(dueAt + spreadMs, askedUntil, retryDueAt());
+      }
+    }
   }
 
   /**
@@ -111,7 +135,7 @@
     if (firstAskAt === undefined) return;
     firstAskAt = undefined;
     attempt = 0;
-    spreadMs = random() * KNOWLEDGE_READ_SPREAD_MS;
+    spread = random();
   }
 
   return {
@@ -119,12 +143,15 @@
       recordContact(at);
       if (confirmedAt !== undefined && at <= confirmedAt) return;
       confirmedAt = at;
+      renews = false;
     },
     recordContact,
     recordDelay: (delayMs) => {
       if (firstAskAt !== undefined) firstAskAt += delayMs;
     },
     recordRead: (isOk, now) => {
+      renews = isOk;
+      if (isOk) spread = random();
       failedReads = isOk ? 0 : failedReads + 1;
       const waitMs = Math.min(
         KNOWLEDGE_READ_RETRY_MAX_MS,
@@ -136,11 +163,11 @@
     ageMs: (now) => confirmedAt === undefined ? undefined : now - confirmedAt,
     contactAgeMs: (now) =>
       contactAt === undefined ? undefined : now - contactAt,
-    decide: (now) => {
+    decide: (now, role) => {
       // What is confirmed but still old does not end the period: a node may
       // gain a little from each ask.
       if (now - (confirmedAt ?? startedAt) < KNOWLEDGE_ASK_AGE_MS) endPeriod();
-      if (now >= readDueAt()) {
+      if (now >= readDueAt(role)) {
         // Until `recordRead` tells how it ended.
         lastReadAt = now;
         retryMs = KNOWLEDGE_READ_RETRY_MAX_MS;
@@ -148,12 +175,12 @@
         return { kind: "read", ageMs, nextMs: KNOWLEDGE_ASK_RETRY_MS };
       }
       if (now < askDueAt()) {
-        const dueAt = Math.min(askDueAt(), readDueAt());
+        const dueAt = Math.min(askDueAt(), readDueAt(role));
         return { kind: "wait", nextMs: dueAt - now };
       }
       firstAskAt ??= now;
       lastAskAt = now;
-      const nextMs = Math.min(KNOWLEDGE_ASK_RETRY_MS, readDueAt() - now);
+      const nextMs = Math.min(KNOWLEDGE_ASK_RETRY_MS, readDueAt(role) - now);
       return { kind: "ask", attempt: attempt++, nextMs };
     },
   };
--- a/packages/standin/src/mod.ts
+++ b/packages/standin/src/mod.ts
@@ -12,3 +12,4 @@
 export * from "./mesh_values.ts";
 export * from "./platform.ts";
 export * from "./ports.ts";
+export * from "./proxy.ts";
