fix(agent): a bundle that is announced but not fetched confirms nothing

Callers would see requests handled as the version before allows, at nodes whose fetch of a newer bundle is not answered, for as long as that lasts; bound 2 s.

Cause: a comparison with a peer confirmed the node's knowledge, and moved its position past the change, once the node held the announcement of the bundle. It then neither read the platform nor would have got the change from it.

Change: no confirmation while a bundle is being fetched, so the node reads the platform in time, from a position before the change.

--- a/packages/node/src/agent/__tests__/knowledge_test.ts
+++ b/packages/node/src/agent/__tests__/knowledge_test.ts
@@ -269,6 +269,16 @@
   },
 );
 
+// Guards against nodes that count as up to date by news of a bundle which they
+// do not have.
+test("nodes that cannot fetch what their peers announce apply a change in time", async () => {
+  await startFleet(SMALL);
+  const others = fleet.left().filter((node) => !readers().includes(node));
+  fleet.silencePulls(others);
+  const appliedMs = await measureApplyMs(2);
+  expect(Math.max(...appliedMs)).toBeLessThan(CONFIGURATION_APPLY_MS);
+});
+
 // Guards against a store that is called more than it can bear, at a price for
 // each call, while it refuses everyone.
 test("while the store refuses all nodes, each calls it rarely", async () => {
--- a/packages/node/src/agent/__tests__/virtual_fleet.ts
+++ b/packages/node/src/agent/__tests__/virtual_fleet.ts
@@ -27,6 +27,8 @@
 /** One way, between nodes and to the store, in ms. */
 const LATENCY_MS = 3;
 const CONFIGURATION_KEY = "config";
+/** An address where nobody answers. */
+const SILENT_ADDRESS = "silent";
 
 /** A clock whose timers fire in order while the fleet runs. */
 export interface VirtualClock extends Clock {
@@ -118,6 +120,8 @@
   readonly silenceStore: () => void;
   /** Silences all open connections between nodes; new ones work. */
   readonly silencePeers: () => void;
+  /** Leaves the requests of nodes for bundles without an answer. */
+  readonly silencePulls: (nodes: readonly VirtualNode[]) => void;
   /** Starts the agent of a machine whose entry is listed, or not. */
   readonly start: (id: string, dataCentre: string) => VirtualNode;
   readonly list: (node: { readonly id: string }) => void;
@@ -284,6 +288,8 @@
   const losses = new Map<string, Loss>();
   const connections = new Map<string, AbortController>();
   const nodes: VirtualNode[] = [];
+  /** Nodes whose requests for bundles are not answered, by address. */
+  const withoutPulls = new Set<string>();
   /** Connections between nodes that were used, by both their ends. */
   const peerConnections = new Map<string, "open" | "silent">();
   const hosts = new Map<string, { readonly ip: string; dataCentre: string }>();
@@ -313,6 +319,7 @@
         return;
       }
       peerConnections.set(connection, "open");
+      if (address === SILENT_ADDRESS) return;
       if (agent === undefined || isLost() === "refused") {
         clock.after(2 * LATENCY_MS, () => resolve(unreachable));
         return;
@@ -346,7 +353,10 @@
       differing: (address, buckets) =>
         call(at(address), (agent) => agent.controlHandler.differing(buckets)),
       pull: (address, topics) =>
-        call(at(address), (agent) => agent.controlHandler.pull(topics)),
+        call(
+          at(withoutPulls.has(from) ? SILENT_ADDRESS : address),
+          (agent) => agent.controlHandler.pull(topics),
+        ),
     };
   }
 
@@ -473,6 +483,9 @@
       for (const { id } of nodes) connections.get(id)?.abort();
     },
     silenceStore: store.silence,
+    silencePulls: (nodes) => {
+      for (const node of nodes) withoutPulls.add(addressOf(node));
+    },
     silencePeers: () => {
       for (const connection of peerConnections.keys()) {
         peerConnections.set(connection, "silent");
--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -433,9 +433,12 @@
     if (reply.isErr()) return false;
     const { recent, buckets, truncated, ...contact } = reply.value;
 
-    /** Takes over the age of the peer's knowledge, which is all here now. */
+    /**
+     * Takes over the age of the peer's knowledge, if all of it is here. Until a
+     * bundle has been fetched, only its announcement is.
+     */
     function recordKnown(): void {
-      if (truncated === true) return;
+      if (truncated === true || bundleSync.isFetching()) return;
       knowledge.recordComparison(contact, { peer, sentAt });
     }
 
--- a/packages/node/src/agent/bundle_sync.ts
+++ b/packages/node/src/agent/bundle_sync.ts
@@ -34,6 +34,8 @@
    * is the node that delivered the announcement, which is asked first.
    */
   readonly fetchIfNewer: (news: News, from?: string) => void;
+  /** Whether a newer version that this node uses is being fetched. */
+  readonly isFetching: () => boolean;
   /** Adds a service to those whose bundles this node uses. */
   readonly addCalledService: (service: string) => void;
   readonly close: () => void;
@@ -177,6 +179,7 @@
   return {
     offer,
     fetchIfNewer,
+    isFetching: () => fetchesInFlight.size > 0,
     addCalledService: (service) => calledServices.add(service),
     close: () => {
       closed = true;
