test(playground): the soak silences connections, each with a change before and after

A module that is loaded into the nodes of a soak silences their open connections to the store, to each other, to their backend server or all, on a signal. The silences are drawn by a generator of their own, so that the events of the seeds that are kept stay as they were.

--- a/playground/src/platform_fleet.ts
+++ b/playground/src/platform_fleet.ts
@@ -29,6 +29,8 @@
   import.meta.dirname,
   "../../target/coltsfootdeal-platform-node.mjs",
 );
+/** Is loaded into the processes of a fleet with `canSilence`. */
+const SILENCE_MODULE = join(import.meta.dirname, "../dist/soak/silence.js");
 /** Flags that deploy/system.toml sets for the program. */
 const PROGRAM_FLAGS = [
   "--max-old-space-size=140",
@@ -60,6 +62,9 @@
   { name: "seal", service: "seals", idempotent: true, priority: 0 },
 ];
 
+/** Connections of a node that can go silent. */
+export type SilentConnections = "store" | "nodes" | "backend" | "all";
+
 /** A process that runs a node, and the backend server beside it. */
 export interface PlatformMember {
   readonly id: string;
@@ -76,6 +81,11 @@
    * rejects if that takes too long.
    */
   readonly start: () => Promise<number>;
+  /**
+   * Silences the node's open connections of a kind. Has no effect unless the
+   * fleet was started with `canSilence`.
+   */
+  readonly silence: (connections: SilentConnections) => Promise<void>;
   /** Writes the backend server's entry to the store. */
   readonly register: (
     state: "ready" | "draining",
@@ -103,6 +113,11 @@
   readonly profileFolder?: string;
   /** Folder for the logs of each process; they are discarded by default. */
   readonly logFolder?: string;
+  /**
+   * Whether connections of the nodes can be silenced.
+   * @default false
+   */
+  readonly canSilence?: boolean;
 }
 
 /** A running fleet of platform nodes. */
@@ -146,7 +161,7 @@
 
 async function startMember(
   { index, service }: { readonly index: number; readonly service: string },
-  { ports, store, folder, command, logFolder, readyMs }: {
+  { ports, store, folder, command, logFolder, readyMs, canSilence }: {
     readonly ports: MeshPorts;
     readonly store: KeyValueStore;
     readonly folder: string;
@@ -154,6 +169,7 @@
     readonly logFolder: string | undefined;
     /** Time within which the first start must have ended, in ms. */
     readonly readyMs: number;
+    readonly canSilence: boolean;
   },
 ): Promise<PlatformMember> {
   const ip = `127.${20 + (process.pid % 200)}.9.${index + 1}`;
@@ -170,6 +186,7 @@
   });
   const storeEndpoint = await store.addEndpoint();
   const path = join(folder, `${id}.toml`);
+  const silencePath = join(folder, `${id}.ports.json`);
   const settings = formatMeshSettings({
     name: `node-${id}`,
     ip,
@@ -189,7 +206,10 @@
   async function start(timeoutMs = READY_TIMEOUT_MS): Promise<number> {
     const startedAt = performance.now();
     child = spawn(process.execPath, command, {
-      env: { COLTSFOOTDEAL_SETTINGS: path },
+      env: {
+        COLTSFOOTDEAL_SETTINGS: path,
+        SOAK_SILENCE_PORTS: silencePath,
+      },
       stdio: ["ignore", output?.fd ?? "ignore", output?.fd ?? "inherit"],
     });
     while (await fetchReadinessStatus(ip, ports.readiness) !== 200) {
@@ -203,6 +223,20 @@
     return performance.now() - startedAt;
   }
 
+  function portsOf(connections: SilentConnections): readonly number[] {
+    const storePort = Number(storeEndpoint.address.split(":").at(-1));
+    switch (connections) {
+      case "store":
+        return [storePort];
+      case "nodes":
+        return [ports.inbound, ports.control];
+      case "backend":
+        return [ports.application];
+      case "all":
+        return [storePort, ports.inbound, ports.control, ports.application];
+    }
+  }
+
   const register: PlatformMember["register"] = (state, options) => {
     const { id: entryId, ...rest } = options ?? { id };
     const address = `${ip}:${ports.application}`;
@@ -220,6 +254,11 @@
     callers: { host: ip, port: ports.outbound },
     child: () => child,
     start: () => start(),
+    silence: async (connections) => {
+      if (!canSilence) return;
+      await writeFile(silencePath, JSON.stringify(portsOf(connections)));
+      child.kill("SIGUSR2");
+    },
     register,
     unregister: () => store.remove(`servers/${id}`),
     closeLog: async () => await output?.close(),
@@ -234,7 +273,14 @@
   const profileFlags = profileFolder === undefined
     ? []
     : ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`];
-  const command = [...PROGRAM_FLAGS, ...profileFlags, program];
+  const canSilence = options.canSilence ?? false;
+  const silenceFlags = canSilence ? ["--import", SILENCE_MODULE] : [];
+  const command = [
+    ...PROGRAM_FLAGS,
+    ...profileFlags,
+    ...silenceFlags,
+    program,
+  ];
   const store = await startKeyValueStore();
   const folder = await mkdtemp(join(tmpdir(), "coltsfootdeal-demo-"));
   const ports = await findMeshPorts();
@@ -253,6 +299,7 @@
         folder,
         command,
         logFolder,
+        canSilence,
         readyMs: Math.max(
           READY_TIMEOUT_MS,
           FLEET_READY_TIMEOUT_MS_PER_NODE * services.length,
--- a/playground/src/soak/__tests__/checks_test.ts
+++ b/playground/src/soak/__tests__/checks_test.ts
@@ -27,6 +27,7 @@
   runs: ["fine"],
   disturbances: [],
   storeOutages: [],
+  silences: [],
   rates: [],
   leavings: [],
   publications: [],
--- a/playground/src/soak/checks.ts
+++ b/playground/src/soak/checks.ts
@@ -53,11 +53,11 @@
 function isInTouch(
   member: number,
   span: Span,
-  { disturbances, storeOutages }: Observations,
+  { disturbances, storeOutages, silences }: Observations,
 ): boolean {
   const from = span.from - STABLE_MS;
   const disturbed = (other: Span) => overlaps({ from, to: span.to }, other);
-  return !storeOutages.some(disturbed) &&
+  return ![...storeOutages, ...silences].some(disturbed) &&
     !disturbances.some((other) => other.member === member && disturbed(other));
 }
 
--- a/playground/src/soak/observations.ts
+++ b/playground/src/soak/observations.ts
@@ -70,6 +70,8 @@
   readonly runs: readonly string[];
   readonly disturbances: readonly NodeDisturbance[];
   readonly storeOutages: readonly Span[];
+  /** When open connections of the nodes went silent. */
+  readonly silences: readonly Span[];
   readonly rates: readonly RateSpan[];
   readonly leavings: readonly LeavingSpan[];
   readonly publications: readonly Publication[];
--- a/playground/src/soak/plan.ts
+++ b/playground/src/soak/plan.ts
@@ -3,6 +3,7 @@
 import { hashText } from "@coltsfootdeal/policy";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { SilentConnections } from "../platform_fleet.ts";
 
 /** What happens to the fleet; `member` is the index of a machine. */
 export type SoakAction =
@@ -30,6 +31,8 @@
     /** Time after the return in which lost writes are written again. */
     readonly rewriteMs: number;
   }
+  /** Open connections of all nodes go silent; new ones work. */
+  | { readonly kind: "silence"; readonly connections: SilentConnections }
   | { readonly kind: "publish" }
   /** The backend server names a rate that it accepts. */
   | {
@@ -76,8 +79,8 @@
 /** Draws uniformly distributed numbers in [0, 1). */
 type Uniform = () => number;
 
-function createUniform(seed: number): Uniform {
-  const generator = xoroshiro128plus(hashText(`soak ${seed}`) | 0);
+function createUniform(name: string): Uniform {
+  const generator = xoroshiro128plus(hashText(name) | 0);
   return () => uniformFloat64(generator);
 }
 
@@ -121,6 +124,11 @@
         ms: between(200, 2_500),
         rewriteMs: between(0, 1_000),
       };
+    case "silence":
+      return {
+        kind,
+        connections: oneOf(["store", "store", "nodes", "backend", "all"]),
+      };
     case "publish":
       return { kind };
     case "cap":
@@ -172,12 +180,47 @@
 const SERIES_LENGTH = 3;
 const SERIES_GAP_MS = 300;
 
+/** Time between two silences, as a multiple of that between other events. */
+const SILENCE_GAP_FACTOR = 8;
+/** Time before a silence at which a configuration is published. */
+const SILENCE_LEAD_MS = 700;
+/** Shortest time after a silence at which the next one is. */
+const SILENCE_PUBLISH_MIN_MS = 3_100;
+const SILENCE_PUBLISH_MAX_MS = 4_000;
+
+/**
+ * Draws silences, each with a configuration before it, so that all watches have
+ * just begun, and one after it. They have a generator of their own, so that the
+ * other events of a seed stay as they are.
+ */
+function drawSilences(
+  seed: number,
+  { members, lengthMs, gapMs }: SoakScale,
+): readonly SoakEvent[] {
+  const uniform = createUniform(`silence ${seed}`);
+  const picker = createPicker(uniform, members);
+  const events: SoakEvent[] = [];
+  let atMs = 1_000;
+  for (;;) {
+    atMs += -SILENCE_GAP_FACTOR * gapMs * Math.log(1 - uniform());
+    if (atMs >= lengthMs) return events;
+    const publish: SoakAction = { kind: "publish" };
+    const publishAtMs = atMs +
+      picker.between(SILENCE_PUBLISH_MIN_MS, SILENCE_PUBLISH_MAX_MS);
+    events.push(
+      { atMs: atMs - SILENCE_LEAD_MS, action: publish },
+      { atMs, action: drawAction("silence", picker) },
+      { atMs: publishAtMs, action: publish },
+    );
+  }
+}
+
 /** Draws a plan; the same seed and scale give the same one. */
 export function createSoakPlan(
   seed: number,
   { members, lengthMs, gapMs }: SoakScale,
 ): readonly SoakEvent[] {
-  const uniform = createUniform(seed);
+  const uniform = createUniform(`soak ${seed}`);
   const picker = createPicker(uniform, members);
   const events: SoakEvent[] = [];
   let atMs = 1_000;
@@ -190,5 +233,6 @@
     }
     atMs += -gapMs * Math.log(1 - uniform());
   }
-  return events.sort((a, b) => a.atMs - b.atMs);
+  return [...events, ...drawSilences(seed, { members, lengthMs, gapMs })]
+    .sort((a, b) => a.atMs - b.atMs);
 }
--- a/playground/src/soak/run_soak.ts
+++ b/playground/src/soak/run_soak.ts
@@ -11,6 +11,7 @@
   type DemoRoute,
   type PlatformFleet,
   type PlatformMember,
+  type SilentConnections,
   startPlatformFleet,
 } from "../platform_fleet.ts";
 import { type Callers, createCallers } from "./callers.ts";
@@ -109,6 +110,7 @@
   const requests: CallerRecord[] = [];
   const disturbances: NodeDisturbance[] = [];
   const storeOutages: Span[] = [];
+  const silences: Span[] = [];
   const rates: RateSpan[] = [];
   const leavings: LeavingSpan[] = [];
   const publications: Publication[] = [];
@@ -253,6 +255,15 @@
     outage.to = performance.now();
   }
 
+  async function silence(connections: SilentConnections): Promise<void> {
+    const from = performance.now();
+    const running = machines.filter(({ isNodeBusy }) => !isNodeBusy);
+    await Promise.all(
+      running.map(({ member }) => member.silence(connections)),
+    );
+    silences.push({ from, to: performance.now() });
+  }
+
   async function restore(
     { ageMs, ms, rewriteMs }: Extract<SoakAction, { readonly kind: "restore" }>,
   ): Promise<void> {
@@ -310,6 +321,8 @@
         isStoreBusy = false;
         return;
       }
+      case "silence":
+        return await silence(action.connections);
       case "publish":
         return publish();
       case "fault":
@@ -363,6 +376,7 @@
     ),
     disturbances,
     storeOutages,
+    silences,
     rates,
     leavings,
     publications,
@@ -387,6 +401,7 @@
   const { perService, program, logFolder } = options;
   const fleet = await startPlatformFleet({
     perService,
+    canSilence: true,
     ...(program === undefined ? {} : { program }),
     ...(logFolder === undefined ? {} : { logFolder }),
   });
