fix(feed): a read beside the watch counts as an answer of the platform

On-call saw platform_answer_age_seconds grow to 30 s at the reader that renews what is known, though the platform answered it every 0.8 s: the time was taken from the watch's answers only. The age of the answer now follows all reads; its absence is told apart from a time of 0.

--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -645,7 +645,9 @@
       return {
         reader: feed.active(),
         platformReachable: feed.active() ? feed.reachable() : undefined,
-        platformAnswerAgeMs: answeredAt && clock.now() - answeredAt,
+        platformAnswerAgeMs: answeredAt === undefined
+          ? undefined
+          : clock.now() - answeredAt,
         knowledgeAgeMs: knowledge.ageMs(),
         instances: membership.all().length,
         topics: gossip.size(),
--- a/packages/node/src/agent/feed_state.ts
+++ b/packages/node/src/agent/feed_state.ts
@@ -1,4 +1,7 @@
-/** Reachability of the platform and the backoff after errors, for all feeds. */
+/**
+ * What all feeds have in common: reachability of the platform, the end of calls
+ * that wait on dead connections, and the backoff after errors.
+ */
 
 import type { Clock, Timer } from "@coltsfootdeal/kernel";
 import { PLATFORM_RETRY_MIN_MS, WATCH_BEHIND_MAX_MS } from "../constants.ts";
--- a/packages/node/src/agent/key_feed.ts
+++ b/packages/node/src/agent/key_feed.ts
@@ -272,6 +272,7 @@
     const read = await readChanges(known);
     if (closing.signal.aborted) return undefined;
     if (read.isOk()) {
+      reachability.set(true, "answered");
       confirm(at);
       advanceTo(read.value);
       return { at, position: read.value };
