fix(playground): two silences at one moment share no file in the soak

Soak seed 1006 (20 s, load average 22) ended with a node gone: 'node i-6 ended with 1', and what it had in flight was cut. Traced in its log: the module that silences connections read its list of ports while the soak wrote the next one, 46 ms after the first, and threw. A fault of the soak, not of the node. The list is renamed into place, and only the process that ran before it was written gets the signal, since one that starts does not handle it yet.

--- a/playground/src/platform_fleet.ts
+++ b/playground/src/platform_fleet.ts
@@ -6,7 +6,7 @@
 
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtemp, open, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, open, rename, rm, writeFile } from "node:fs/promises";
 import { request } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -202,6 +202,7 @@
     ? undefined
     : await open(join(logFolder, `${id}.log`), "a");
   let child: ChildProcess;
+  let silences = 0;
 
   async function start(timeoutMs = READY_TIMEOUT_MS): Promise<number> {
     const startedAt = performance.now();
@@ -256,8 +257,13 @@
     start: () => start(),
     silence: async (connections) => {
       if (!canSilence) return;
-      await writeFile(silencePath, JSON.stringify(portsOf(connections)));
-      child.kill("SIGUSR2");
+      // A process that starts meanwhile does not handle the signal yet.
+      const running = child;
+      // The process may be reading the file because of an earlier signal.
+      const draftPath = `${silencePath}.${++silences}`;
+      await writeFile(draftPath, JSON.stringify(portsOf(connections)));
+      await rename(draftPath, silencePath);
+      running.kill("SIGUSR2");
     },
     register,
     unregister: () => store.remove(`servers/${id}`),
--- a/playground/src/soak/__tests__/soak_test.ts
+++ b/playground/src/soak/__tests__/soak_test.ts
@@ -21,6 +21,8 @@
   { seed: 3, lengthMs: SHORT_MS },
   // Nodes that had been stopped and started again were taken for leaving.
   { seed: 117, lengthMs: LONG_MS },
+  // The soak ended a node: two silences at one moment shared a file.
+  { seed: 1006, lengthMs: LONG_MS },
 ] as const;
 
 test.each(SOAKS)("no promise is broken in a soak, seed $seed", async (soak) => {
