--- a/packages/node/src/admin/audit.ts
+++ b/packages/node/src/admin/audit.ts
@@ -22,6 +22,8 @@
   | "news_malformed"
   | "platform_reachable"
   | "platform_unreachable"
+  | "backend_listed"
+  | "backend_unlisted"
   | "backend_died"
   | "backend_leaving"
   | "paused"
--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -350,9 +350,15 @@
     if (instance.address !== ownAddress) return;
     if (instance.service !== settings.service) {
       // The address now belongs to a backend server of another service.
+      audit.record("backend_unlisted", {
+        id: listedId,
+        entry: instance.id,
+        service: instance.service,
+      });
       config.onOwnInstance({ ...instance, id: listedId, state: "gone" });
       return;
     }
+    recordOwnEntry(instance);
     config.onOwnInstance(instance);
     const remembered = notices.find(instance.id);
     if (remembered !== undefined) config.onOwnReport(remembered);
@@ -361,6 +367,11 @@
     applyNews([createOwnFactNews()]);
   }
 
+  function recordOwnEntry({ id, state, startedAt }: ListedInstance): void {
+    const event = state === "gone" ? "backend_unlisted" : "backend_listed";
+    audit.record(event, { id, state, startedAt });
+  }
+
   function createOwnFactNews(): News {
     const { incarnation } = config;
     return createFactNews({ id: listedId, incarnation, leaving });
