fix(agent): the own backend server is told from all entries at its address

Cause: the entry heard last at the node's IP address stood for all that are listed there. One of another application displaced the backend server's own; one under an earlier id of the backend server did, and its removal left the node without one. A node that starts hears entries in the order of their keys, so only the order of keys decided.

Change: after each change of the list, the own entry is selected among all that are listed: own service, address of the backend server with its port, latest start. settings.listedBackend, that address, replaces the flag backendFrom. Membership keeps the revision of each entry, which the agent did before.

--- a/packages/bench/src/capacity_slopes.ts
+++ b/packages/bench/src/capacity_slopes.ts
@@ -74,7 +74,7 @@
         const listed = createListedInstance(index);
         const value = JSON.stringify(listed);
         const topic = `instance/${listed.id}`;
-        membership.applyListed(listed, 0);
+        membership.applyListed({ ...listed, revision: 1 });
         gossip.receive([{ topic, version: 1, digest: `${index}`, value }], 0);
       }
       return { membership, gossip };
--- a/packages/node/src/agent/__tests__/virtual_fleet.ts
+++ b/packages/node/src/agent/__tests__/virtual_fleet.ts
@@ -399,7 +399,7 @@
       data: { host: ip, port: 1 },
       control: { host: ip, port: 2 },
       seeds: [],
-      backendFrom: "instance_list",
+      listedBackend: { host: ip, port: 1 },
     };
     const router = createRouter({
       nodeId: id,
--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -16,7 +16,9 @@
   drawIndex,
   GOSSIP_PUSH_PERIOD_MS,
   type InstanceFact,
+  isSameListing,
   LEAVING_FACT_TTL_MS,
+  type ListedEntry,
   type ListedInstance,
   type Membership,
   type News,
@@ -25,6 +27,7 @@
   resolveRanking,
   resolveSources,
   type Router,
+  selectBackendEntry,
   STANDBY_READERS_PER_DATA_CENTRE,
   SUSPECT_TTL_MS,
   type Suspects,
@@ -70,9 +73,9 @@
   readonly suspects: Suspects;
   readonly createFeed: (sinks: FeedSinks) => Feed;
   /**
-   * Called with the instance list's entry at this node's address, if the
-   * settings take the backend server from the list; with the state `gone` when
-   * the address has passed to another service.
+   * Called with the instance list's entry of the backend server beside this
+   * node, if the settings take it from the list; with the state `gone` when no
+   * entry is left.
    */
   readonly onOwnInstance: (instance: ListedInstance) => void;
   /** Called with what peers remember of this node's backend server. */
@@ -178,12 +181,11 @@
     peers,
     control,
   });
-  const ownAddress = formatAddress(settings.data);
   let listedId = settings.instance;
+  /** The own backend server as it was last passed on. */
+  let own: ListedEntry | undefined;
   let leaving = false;
   const timers: { readonly close: () => void }[] = [];
-  /** Revision of the list entry of each instance that is not gone. */
-  const revisions = new Map<string, number>();
   /** Result of `rankedReaders`; undefined once the members have changed. */
   let readerAddresses: readonly string[] | undefined;
   let bootstrapped = seeds.length === 0;
@@ -193,11 +195,7 @@
     onValues: offerBundles,
     onInstances: applyListedInstances,
     onListed: finishList,
-    knownInstances: () =>
-      membership.all().map((listed) => ({
-        ...listed,
-        revision: revisions.get(listed.id) ?? 0,
-      })),
+    knownInstances: membership.all,
     onWatchBehind: () => audit.record("watch_behind"),
     onReachabilityChange: (reachable, reason) => {
       const event = reachable ? "platform_reachable" : "platform_unreachable";
@@ -293,9 +291,10 @@
   ): readonly News[] {
     const fresh = storeNews(news, options);
     let changed = false;
+    let listChanged = false;
     for (const item of fresh) {
       if (item.topic.startsWith(INSTANCE_TOPIC_PREFIX)) {
-        changed = applyInstanceNews(item) || changed;
+        listChanged = applyInstanceNews(item) || listChanged;
       } else if (item.topic.startsWith(FACT_TOPIC_PREFIX)) {
         changed = applyFactNews(item) || changed;
       } else if (item.topic.startsWith(NOTICE_TOPIC_PREFIX)) {
@@ -306,7 +305,8 @@
         bundleSync.fetchIfNewer(item, options.from);
       }
     }
-    if (changed) refreshRoutes();
+    if (listChanged) updateOwnEntry();
+    if (changed || listChanged) refreshRoutes();
     return fresh;
   }
 
@@ -314,13 +314,8 @@
     const instance = parseNewsValue<ListedInstance>(news);
     if (instance === undefined) return false;
     const { id, service, dataCentre, state } = instance;
-    if (state === "gone") {
-      revisions.delete(id);
-      notices.forgetNews(id);
-    } else {
-      revisions.set(id, news.version);
-    }
-    if (membership.applyListed(instance, clock.now())) {
+    if (state === "gone") notices.forgetNews(id);
+    if (membership.applyListed({ ...instance, revision: news.version })) {
       const event = state === "gone" ? "instance_gone" : "instance_listed";
       audit.record(event, {
         id,
@@ -337,41 +332,35 @@
       const { startedAt } = instance;
       notices.recordLeaving({ id, startedAt }, { comparisonOnly: true });
     }
-    applyOwnEntry(instance);
     return true;
   }
 
   /**
-   * Applies the list entry at this node's address, if the settings take the
-   * backend server from the list.
+   * Passes on what the list says of the backend server beside this node, if the
+   * settings take it from the list. All entries are looked at, since the one
+   * heard last need not be of the process that is there now.
    */
-  function applyOwnEntry(instance: ListedInstance): void {
-    if (settings.backendFrom !== "instance_list") return;
-    if (instance.address !== ownAddress) return;
-    if (instance.service !== settings.service) {
-      // The address now belongs to a backend server of another service.
-      audit.record("backend_unlisted", {
-        id: listedId,
-        entry: instance.id,
-        service: instance.service,
-      });
-      config.onOwnInstance({ ...instance, id: listedId, state: "gone" });
-      return;
-    }
-    recordOwnEntry(instance);
-    config.onOwnInstance(instance);
-    const remembered = notices.find(instance.id);
+  function updateOwnEntry(): void {
+    if (settings.listedBackend === undefined) return;
+    const entry = selectBackendEntry(membership.all(), {
+      service: settings.service,
+      address: formatAddress(settings.listedBackend),
+    });
+    const isGone = entry === undefined;
+    const next = isGone && own ? { ...own, state: "gone" as const } : entry;
+    if (next === undefined || own && isSameListing(own, next)) return;
+    own = next;
+    const { id, state, startedAt, revision } = next;
+    const event = isGone ? "backend_unlisted" : "backend_listed";
+    audit.record(event, { id, state, startedAt, revision });
+    config.onOwnInstance(next);
+    const remembered = notices.find(id);
     if (remembered !== undefined) config.onOwnReport(remembered);
-    if (instance.state === "gone" || instance.id === listedId) return;
-    listedId = instance.id;
+    if (isGone || id === listedId) return;
+    listedId = id;
     applyNews([createOwnFactNews()]);
   }
 
-  function recordOwnEntry({ id, state, startedAt }: ListedInstance): void {
-    const event = state === "gone" ? "backend_unlisted" : "backend_listed";
-    audit.record(event, { id, state, startedAt });
-  }
-
   function createOwnFactNews(): News {
     const { incarnation } = config;
     return createFactNews({ id: listedId, incarnation, leaving });
--- a/packages/node/src/agent/feed.ts
+++ b/packages/node/src/agent/feed.ts
@@ -1,6 +1,6 @@
 /** Types of feeds, which deliver the platform's bundles and instance list. */
 
-import type { ListedInstance } from "@coltsfootdeal/policy";
+import type { ListedEntry } from "@coltsfootdeal/policy";
 import type { Position } from "./position.ts";
 
 /** A value of the configuration service. */
@@ -11,10 +11,7 @@
 }
 
 /** An entry of the instance list. */
-export interface PlatformInstance extends ListedInstance {
-  /** Orders the entries of one instance; the highest is the latest. */
-  readonly revision: number;
-}
+export type PlatformInstance = ListedEntry;
 
 /** Callbacks to which a feed delivers what it reads. */
 export interface FeedSinks {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -101,7 +101,7 @@
   const { clock, log } = options;
   const { instance } = settings;
   let reloadable: ReloadableSettings = settings;
-  const requiresListedBackend = settings.backendFrom === "instance_list";
+  const requiresListedBackend = settings.listedBackend !== undefined;
   const incarnation = createIncarnation();
   const kernel = createKernel();
   const audit = createAudit(log, clock);
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -46,11 +46,10 @@
   /** Control addresses of the nodes to contact first. */
   readonly seeds: readonly Address[];
   /**
-   * Where the node learns which backend server is beside it: from its settings
-   * or from the platform's instance list.
-   * @default "settings"
+   * Address at which the platform's instance list has the backend server beside
+   * this node. Undefined if the node knows it from its settings alone.
    */
-  readonly backendFrom?: "settings" | "instance_list";
+  readonly listedBackend?: Address;
   /** Bounds that the platform sets on retries; none by default. */
   readonly retries?: RetryBounds;
   /** Grace period from the stop signal until the process is killed, in ms. */
--- a/packages/policy/src/membership.ts
+++ b/packages/policy/src/membership.ts
@@ -6,26 +6,13 @@
  */
 
 import { LEAVING_FACT_TTL_MS } from "./constants.ts";
+import {
+  isSameListing,
+  type ListedEntry,
+  type ListedInstance,
+} from "./listed_entry.ts";
 import type { Upstream } from "./upstream.ts";
 
-/** An instance as listed by the platform. */
-export interface ListedInstance {
-  readonly id: string;
-  readonly service: string;
-  readonly dataCentre: string;
-  /** Address of the data listener. */
-  readonly address: string;
-  /** Address of the control listener. */
-  readonly control: string;
-  readonly state: "live" | "leaving" | "gone";
-  /** Calls that it runs concurrently, if the list states it. */
-  readonly slots?: number;
-  /** Address of the backend server itself, if the list states it. */
-  readonly backend?: string;
-  /** Start of this incarnation of the backend server, in Unix ms. */
-  readonly startedAt?: number;
-}
-
 /** State that an instance publishes about itself, directly or by gossip. */
 export interface InstanceFact {
   readonly id: string;
@@ -37,7 +24,7 @@
 /** The instances known to a node. */
 export interface Membership {
   /** Applies an entry of the platform's list; false if nothing changes. */
-  readonly applyListed: (instance: ListedInstance, now: number) => boolean;
+  readonly applyListed: (entry: ListedEntry) => boolean;
   /** Applies a fact; false if nothing changes. */
   readonly applyFact: (fact: InstanceFact, now: number) => boolean;
   /** Instances of a service that are not leaving. */
@@ -47,13 +34,13 @@
   /** The listed entry of an instance. */
   readonly find: (id: string) => ListedInstance | undefined;
   /** All listed instances. */
-  readonly all: () => readonly ListedInstance[];
+  readonly all: () => readonly ListedEntry[];
   /** Services that have or had listed instances. */
   readonly services: () => readonly string[];
 }
 
 interface Entry {
-  listed: ListedInstance | undefined;
+  listed: ListedEntry | undefined;
   incarnation: string;
   leavingAt: number | undefined;
 }
@@ -98,7 +85,7 @@
       entry.listed = instance;
       const ids = byService.get(instance.service) ?? new Set();
       byService.set(instance.service, ids.add(instance.id));
-      return JSON.stringify(before) !== JSON.stringify(instance);
+      return before === undefined || !isSameListing(before, instance);
     },
     applyFact: (fact, now) => {
       const entry = entries.get(fact.id);
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -12,6 +12,7 @@
 export * from "./ledger.ts";
 export * from "./level.ts";
 export * from "./limit.ts";
+export * from "./listed_entry.ts";
 export * from "./membership.ts";
 export * from "./nesting.ts";
 export * from "./notice.ts";
