fix(policy): a node is one member and a backend server one upstream

With other applications listed on its machines a data centre has one reader of two or none, so changes come by the slower ways; a retry can go to the same gate under an earlier id, and a backend server that is leaving stays in use under that id; the share of the retry budget falls with each entry.

Cause: members, upstreams and the size of the fleet were counted by entries, and a node looked for itself among them by its backend server's id.

Change: of the entries that share a backend server's address the one that started last counts; of those that share a node's address, one. A node finds itself by its address.

--- a/packages/node/src/agent/__tests__/knowledge_test.ts
+++ b/packages/node/src/agent/__tests__/knowledge_test.ts
@@ -348,3 +348,24 @@
   await fleet.clock.run(10_000);
   expect(others.map((node) => node.storeCalls())).toEqual(calls);
 });
+
+// Guards against a data centre whose readers are elected among entries of other
+// applications, so that nobody reads (incident 32).
+test.each([SMALL, LARGE])(
+  "entries of another application on each machine take no reader's place (%o)",
+  async (counts) => {
+    await startFleet(counts);
+    for (const node of fleet.nodes) {
+      for (const name of ["a", "z"]) {
+        fleet.listBeside(node, `${name}-metrics-${node.id}`);
+      }
+    }
+    await fleet.clock.run(SETTLE_MS);
+    for (const dataCentre of Object.keys(counts)) {
+      const local = readers().filter((node) => node.dataCentre === dataCentre);
+      expect(local).toHaveLength(READERS);
+    }
+    expect(Math.max(...await measureApplyMs(2)))
+      .toBeLessThanOrEqual(CONFIGURATION_APPLY_MS);
+  },
+);
--- a/packages/node/src/agent/__tests__/platform_reader_test.ts
+++ b/packages/node/src/agent/__tests__/platform_reader_test.ts
@@ -72,7 +72,7 @@
     audit: audit as Audit,
     control: control as ControlClient,
     feed: feed as Feed,
-    listedId: findStandby,
+    self: findStandby,
     members: () => MEMBERS,
     hasBundle: () => true,
     onReaderAnswer: () => {},
--- a/packages/node/src/agent/__tests__/virtual_fleet.ts
+++ b/packages/node/src/agent/__tests__/virtual_fleet.ts
@@ -125,6 +125,8 @@
   /** Starts the agent of a machine whose entry is listed, or not. */
   readonly start: (id: string, dataCentre: string) => VirtualNode;
   readonly list: (node: { readonly id: string }) => void;
+  /** Lists a process of another application on the machine of a node. */
+  readonly listBeside: (node: { readonly id: string }, id: string) => void;
   /** Lists an instance as leaving. */
   readonly drain: (node: { readonly id: string }) => void;
   readonly removeEntry: (node: { readonly id: string }) => void;
@@ -493,6 +495,18 @@
     },
     start,
     list: (node) => list(node),
+    listBeside: (node, id) =>
+      store.put(`servers/${id}`, (revision) => ({
+        kind: "instance",
+        instance: {
+          ...createEntry(node.id),
+          id,
+          service: "node-metrics",
+          backend: `${hosts.get(node.id)!.ip}:9`,
+          state: "live",
+          revision,
+        },
+      })),
     drain: (node) => list(node, "leaving"),
     removeEntry: ({ id }) =>
       store.put(`servers/${id}`, (revision) => ({
--- a/packages/node/src/agent/agent.ts
+++ b/packages/node/src/agent/agent.ts
@@ -209,7 +209,7 @@
     audit,
     control,
     feed,
-    listedId: () => listedId,
+    self: ownMemberId,
     members: () => membership.members(settings.dataCentre),
     hasBundle: () => store.catalog() !== undefined,
     onReaderAnswer: () => knowledge.recordContact({ readerAgeMs: 0 }),
@@ -469,6 +469,17 @@
     if (peer !== undefined) compareWith(peer);
   }
 
+  /**
+   * Id of the entry that stands for this node among the members of its data
+   * centre; undefined while it has no live one. It need not be that of its
+   * backend server.
+   */
+  function ownMemberId(): string | undefined {
+    return membership.members(settings.dataCentre).find((member) =>
+      member.control === ownControlAddress
+    )?.id;
+  }
+
   /**
    * Draws the peers that this node asks whether its knowledge is current. When
    * the first did not help, any peer is asked as well.
@@ -477,7 +488,7 @@
     const members = membership.members(settings.dataCentre);
     const sources = resolveSources(members, {
       dataCentre: settings.dataCentre,
-      self: listedId,
+      self: ownMemberId(),
       sourcesMin: attempt === 0
         ? READERS_PER_DATA_CENTRE
         : READERS_PER_DATA_CENTRE + STANDBY_READERS_PER_DATA_CENTRE,
--- a/packages/node/src/agent/peers.ts
+++ b/packages/node/src/agent/peers.ts
@@ -57,9 +57,9 @@
   let seeds: readonly string[] = initialSeeds;
 
   function peerAddresses(instances: readonly ListedInstance[]) {
-    return instances.map(({ control }) => control).filter((a) =>
-      a !== ownAddress
-    );
+    const addresses = new Set(instances.map(({ control }) => control));
+    addresses.delete(ownAddress);
+    return [...addresses];
   }
 
   return {
--- a/packages/node/src/agent/platform_reader.ts
+++ b/packages/node/src/agent/platform_reader.ts
@@ -25,9 +25,9 @@
   readonly audit: Audit;
   readonly control: ControlClient;
   readonly feed: Feed;
-  /** Id of this node's entry in the instance list. */
-  readonly listedId: () => string;
-  /** Instances of the data centre that are listed as live. */
+  /** Id of this node among the members; undefined if it is none of them. */
+  readonly self: () => string | undefined;
+  /** The nodes of the data centre, an entry each. */
   readonly members: () => readonly ListedInstance[];
   readonly hasBundle: () => boolean;
   /** Called when a probed node answers that it reads the platform. */
@@ -59,7 +59,7 @@
   let startedAt: number | undefined;
 
   function role() {
-    const context = { self: config.listedId(), now: clock.now() };
+    const context = { self: config.self(), now: clock.now() };
     return readers.role(config.members(), context);
   }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -111,7 +111,7 @@
   const runRegistry = createRunRegistry();
   const suspects = createSuspects({ isolate: !requiresListedBackend });
   const slotTimes = createServiceTime();
-  const fleetSize = () => Math.max(1, agent.membership.all().length);
+  const fleetSize = () => Math.max(1, agent.membership.nodeCount());
   const router = createRouter({
     nodeId: instance,
     dataCentres: settings.dataCentres,
--- a/packages/policy/src/freshness.ts
+++ b/packages/policy/src/freshness.ts
@@ -195,7 +195,8 @@
   members: readonly Member[],
   options: {
     readonly dataCentre: string;
-    readonly self: string;
+    /** Id of the node among the members; undefined if it is none of them. */
+    readonly self: string | undefined;
     /** Number of sources in a small data centre. */
     readonly sourcesMin: number;
   },
--- a/packages/policy/src/listed_entry.ts
+++ b/packages/policy/src/listed_entry.ts
@@ -64,15 +64,38 @@
   return entry.id > other.id;
 }
 
-/** The entry of the process that started last; undefined if there is none. */
-function selectLatestStart(
+/** Of the entries that share an address, that of the process started last. */
+function selectLatestStarts(
   entries: readonly ListedEntry[],
-): ListedEntry | undefined {
-  let latest: ListedEntry | undefined;
+  addressOf: (entry: ListedEntry) => string,
+): readonly ListedEntry[] {
+  const latest = new Map<string, ListedEntry>();
   for (const entry of entries) {
-    if (latest === undefined || isLaterStart(entry, latest)) latest = entry;
+    const address = addressOf(entry);
+    const other = latest.get(address);
+    if (other === undefined || isLaterStart(entry, other)) {
+      latest.set(address, entry);
+    }
   }
-  return latest;
+  return [...latest.values()];
+}
+
+/** One entry for each backend server, under its latest id. */
+export function selectBackends(
+  entries: readonly ListedEntry[],
+): readonly ListedEntry[] {
+  return selectLatestStarts(entries, backendAddressOf);
+}
+
+/**
+ * One entry for each node that has a live one. A machine may have entries of
+ * several processes; they all stand for the one node there.
+ */
+export function selectNodes(
+  entries: readonly ListedEntry[],
+): readonly ListedEntry[] {
+  const live = selectBackends(entries).filter(({ state }) => state === "live");
+  return selectLatestStarts(live, ({ control }) => control);
 }
 
 /**
@@ -83,9 +106,8 @@
   entries: readonly ListedEntry[],
   { service, address }: BackendIdentity,
 ): ListedEntry | undefined {
-  return selectLatestStart(
-    entries.filter((entry) =>
-      entry.service === service && backendAddressOf(entry) === address
-    ),
+  const ofService = entries.filter((entry) =>
+    entry.service === service && backendAddressOf(entry) === address
   );
+  return selectBackends(ofService)[0];
 }
--- a/packages/policy/src/membership.ts
+++ b/packages/policy/src/membership.ts
@@ -10,6 +10,8 @@
   isSameListing,
   type ListedEntry,
   type ListedInstance,
+  selectBackends,
+  selectNodes,
 } from "./listed_entry.ts";
 import type { Upstream } from "./upstream.ts";
 
@@ -27,10 +29,15 @@
   readonly applyListed: (entry: ListedEntry) => boolean;
   /** Applies a fact; false if nothing changes. */
   readonly applyFact: (fact: InstanceFact, now: number) => boolean;
-  /** Instances of a service that are not leaving. */
+  /**
+   * Instances of a service that are not leaving; one for each backend server,
+   * though the list may still have an earlier id of it.
+   */
   readonly upstreams: (service: string, now: number) => readonly Upstream[];
-  /** Instances of a data centre that the platform lists as live. */
-  readonly members: (dataCentre: string) => readonly ListedInstance[];
+  /** One live entry for each node of a data centre. */
+  readonly members: (dataCentre: string) => readonly ListedEntry[];
+  /** Number of nodes that have entries. */
+  readonly nodeCount: () => number;
   /** The listed entry of an instance. */
   readonly find: (id: string) => ListedInstance | undefined;
   /** All listed instances. */
@@ -53,6 +60,9 @@
 export function createMembership(): Membership {
   const entries = new Map<string, Entry>();
   const byService = new Map<string, Set<string>>();
+  /** Results of `nodeCount` and `members` until an entry changes. */
+  let nodeCount: number | undefined;
+  const membersOf = new Map<string, readonly ListedEntry[]>();
 
   function entryOf(id: string): Entry {
     const known = entries.get(id);
@@ -62,6 +72,10 @@
     return entry;
   }
 
+  function all(): readonly ListedEntry[] {
+    return [...entries.values()].flatMap(({ listed }) => listed ?? []);
+  }
+
   function isLeaving({ listed, leavingAt }: Entry, now: number): boolean {
     if (listed?.state === "leaving") return true;
     return leavingAt !== undefined && now - leavingAt < LEAVING_FACT_TTL_MS;
@@ -69,6 +83,8 @@
 
   return {
     applyListed: (instance) => {
+      nodeCount = undefined;
+      membersOf.clear();
       const entry = entryOf(instance.id);
       const before = entry.listed;
       if (before && before.service !== instance.service) {
@@ -102,10 +118,13 @@
     },
     upstreams: (service, now) => {
       const list: Upstream[] = [];
-      for (const id of byService.get(service) ?? []) {
+      const ids = [...byService.get(service) ?? []];
+      const listed = ids.flatMap((id) => entries.get(id)?.listed ?? []);
+      for (
+        const { id, dataCentre, address, startedAt } of selectBackends(listed)
+      ) {
         const entry = entries.get(id);
-        if (!entry?.listed || isLeaving(entry, now)) continue;
-        const { dataCentre, address, startedAt } = entry.listed;
+        if (entry === undefined || isLeaving(entry, now)) continue;
         const { incarnation } = entry;
         list.push({
           id,
@@ -119,16 +138,19 @@
       return list;
     },
     members: (dataCentre) => {
-      const list: ListedInstance[] = [];
-      for (const { listed } of entries.values()) {
-        if (listed?.dataCentre === dataCentre && listed.state === "live") {
-          list.push(listed);
-        }
-      }
-      return list;
+      const known = membersOf.get(dataCentre);
+      if (known !== undefined) return known;
+      const local = all().filter((entry) => entry.dataCentre === dataCentre);
+      const members = selectNodes(local);
+      membersOf.set(dataCentre, members);
+      return members;
+    },
+    nodeCount: () => {
+      nodeCount ??= new Set(all().map(({ control }) => control)).size;
+      return nodeCount;
     },
     find: (id) => entries.get(id)?.listed,
-    all: () => [...entries.values()].flatMap(({ listed }) => listed ?? []),
+    all,
     services: () => [...byService.keys()],
   };
 }
--- a/packages/policy/src/readers.ts
+++ b/packages/policy/src/readers.ts
@@ -31,8 +31,8 @@
 
 /** What a role is decided from. */
 export interface ReaderContext {
-  /** Id of this node's entry in the instance list. */
-  readonly self: string;
+  /** Id of this node among the members; undefined if it is none of them. */
+  readonly self: string | undefined;
   readonly now: number;
 }
 
