fix(http): a status that HTTP does not define is no answer

Cause: any three digits from 200 on counted as a status, and those below 100 as an interim answer, whose body then broke the parser and looked like a lost connection.

Change: a status outside 100 to 599 ends the connection and the answer counts as broken, which is no death of the backend server. What HTTP defines but nobody has assigned passes unchanged.

--- a/packages/node/src/__tests__/cut_answer_test.ts
+++ b/packages/node/src/__tests__/cut_answer_test.ts
@@ -93,3 +93,12 @@
     );
   }
 }
+
+test.each(["000", "099", "600", "999"])(
+  "an answer with status %s, which HTTP does not define, is not whole",
+  async (status) => {
+    const text = `HTTP/1.1 ${status} x\r\ncontent-length: 4\r\n\r\nbody`;
+    script = { text, ending: "end" };
+    expect(await send()).toEqual({ kind: "truncated" });
+  },
+);
--- a/packages/node/src/gate/backend_server.ts
+++ b/packages/node/src/gate/backend_server.ts
@@ -56,7 +56,7 @@
   | { readonly kind: "not_sent" }
   /** The connection was lost before the response began. */
   | { readonly kind: "lost" }
-  /** The response was incomplete. */
+  /** The response was incomplete or invalid. */
   | { readonly kind: "truncated" }
   /** The signal of the call was aborted. */
   | { readonly kind: "cancelled" };
--- a/packages/node/src/http_client.ts
+++ b/packages/node/src/http_client.ts
@@ -67,7 +67,10 @@
   | { readonly kind: "not_sent" }
   /** The connection was lost, or closed by a limit, before the response began. */
   | { readonly kind: "lost" }
-  /** The response is incomplete or beyond a limit, or has no detectable end. */
+  /**
+   * The response is incomplete or beyond a limit, has no detectable end, or has
+   * a status that HTTP does not define.
+   */
   | { readonly kind: "truncated" }
   /** The signal was aborted. */
   | { readonly kind: "aborted" };
@@ -87,6 +90,14 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
+/** Range of the statuses that HTTP defines. */
+const STATUS_MIN = 100;
+const STATUS_MAX = 599;
+
+function isDefinedStatus(status: number): boolean {
+  return status >= STATUS_MIN && status <= STATUS_MAX;
+}
+
 function errorCode(error: unknown): string {
   const code = (error as { readonly code?: unknown } | null)?.code;
   return typeof code === "string" ? code : "";
@@ -197,6 +208,11 @@
           if (signal?.aborted) requestController.abort(new Error("aborted"));
         },
         onResponseStart: (_controller, statusCode, head) => {
+          if (!isDefinedStatus(statusCode)) {
+            settle({ kind: "truncated" });
+            controller?.abort(new Error(`invalid status ${statusCode}`));
+            return;
+          }
           if (statusCode < 200) {
             if (++informationalAnswers <= INFORMATIONAL_ANSWERS_MAX) return;
             settle({ kind: "lost" });
--- a/packages/standin/src/mesh_backend.ts
+++ b/packages/standin/src/mesh_backend.ts
@@ -38,7 +38,16 @@
   /** Never answers. */
   | "hang"
   /** Closes all connections, as a process that crashes and restarts. */
-  | "crash";
+  | "crash"
+  /** Answers with this status, signed and with a length. */
+  | MeshStatusFault;
+
+/** Writes an answer with any status; the connection stays open. */
+export interface MeshStatusFault {
+  readonly status: string;
+  /** @default the usual body */
+  readonly body?: string;
+}
 
 /** A nested call: a request that a run sends through the node beside it. */
 export interface MeshCall {
@@ -204,6 +213,15 @@
     response: ServerResponse,
   ): void {
     const body = `answer to ${run.requestId} by ${id}`;
+    if (typeof fault === "object") {
+      const text = fault.body ?? body;
+      response.socket?.write(
+        `HTTP/1.1 ${fault.status} Status\r\nx-request-id: ${run.requestId}\r\n` +
+          `x-response-signature: ${id}.${run.requestId}\r\n` +
+          `content-length: ${text.length}\r\n\r\n${text}`,
+      );
+      return;
+    }
     const headers: Record<string, string> = {
       "x-request-id": run.requestId,
       "x-response-signature": `${id}.${run.requestId}`,
