fix(feed): a watch takes an unreadable entry for a missing one, as a list does

When another writer replaces the entry of an instance by a value that cannot be read, nodes that watch go on using the instance, and nodes that start do not know it.

Cause: such a value was left out. In a list that made the instance missing, in a watch nothing had changed.

Evidence: key_feed_test.ts, a property over histories of three keys read by a watch and by a list: red before (one write, one unreadable value), green now.

Change: the instance is removed after the grace period in both, unless its entry is written again; values that go on coming do not put it off.

--- a/packages/node/src/agent/__tests__/key_feed_test.ts
+++ b/packages/node/src/agent/__tests__/key_feed_test.ts
@@ -1,5 +1,6 @@
 import { setTimeout } from "node:timers/promises";
-import { createSystemClock, sleep } from "@coltsfootdeal/kernel";
+import { type Clock, createSystemClock, sleep } from "@coltsfootdeal/kernel";
+import fc from "fast-check";
 import { err, ok, type Result } from "neverthrow";
 import { afterEach, expect, test } from "vitest";
 import type { Feed, PlatformInstance } from "../feed.ts";
@@ -10,7 +11,9 @@
   type StoreListQuery,
   type StorePage,
 } from "../key_feed.ts";
+import { STORE_REWRITE_GRACE_MS } from "../../constants.ts";
 import { orderOf, type Position } from "../position.ts";
+import { createVirtualClock } from "./virtual_fleet.ts";
 
 const BEFORE: Position = { era: 1, revision: 90 };
 const LATER: Position = { era: 1, revision: 96 };
@@ -39,7 +42,10 @@
 }
 
 /** Runs a feed on scripted answers; those that are undefined never come. */
-function runFeed(script: readonly (Answer | undefined)[]) {
+function runFeed(
+  script: readonly (Answer | undefined)[],
+  clock: Clock = createSystemClock(),
+) {
   const queries: (StoreListQuery | { readonly after: number })[] = [];
   const instances = new Map<string, PlatformInstance>();
   const eras: number[] = [];
@@ -65,7 +71,7 @@
   }
 
   feed = createKeyValueFeed({
-    clock: createSystemClock(),
+    clock,
     reader: { list: answer, watch: answer },
     onValues: () => {},
     onInstances: (changed) => {
@@ -198,3 +204,96 @@
   expect(Number.isSafeInteger(orderOf({ era: 4_095, revision: 2 ** 40 - 1 })))
     .toBe(true);
 });
+
+const IDS = ["i-1", "i-2", "i-3"] as const;
+
+/** Changes of keys in their order. */
+const HISTORY = fc.array(
+  fc.record({
+    id: fc.constantFrom(...IDS),
+    kind: fc.constantFrom("instance", "removed", "foreign"),
+  }),
+  { minLength: 1, maxLength: 8 },
+).map((events) =>
+  events.map(({ id, kind }, index): StoreChange => {
+    const revision = index + 1;
+    switch (kind) {
+      case "instance":
+        return entry(id, revision);
+      case "removed":
+        return { kind, id, revision };
+      default:
+        return {
+          kind: "foreign",
+          key: id,
+          reason: "state is not readable",
+          instance: { id, revision },
+        };
+    }
+  })
+);
+
+function keyOf(change: StoreChange): string {
+  switch (change.kind) {
+    case "instance":
+      return change.instance.id;
+    case "removed":
+      return change.id;
+    case "foreign":
+    case "value":
+      return change.kind === "foreign" ? change.key : change.value.key;
+  }
+}
+
+// Guards against an instance that stays in use only at nodes that had heard of it
+// before its entry became unreadable (incident 34).
+test("a watch and a list of the same keys tell of the same instances", async () => {
+  await fc.assert(fc.asyncProperty(HISTORY, async (history) => {
+    const position = { era: 1, revision: history.length };
+    const known = (instances: ReadonlyMap<string, PlatformInstance>) =>
+      [...instances.values()].filter(({ state }) => state !== "gone")
+        .map(({ id }) => id).sort();
+
+    const clock = createVirtualClock();
+    const start = ok({ position: { era: 1, revision: 0 } });
+    const events = history.map((change, index) =>
+      ok({ changes: [change], position: { era: 1, revision: index + 1 } })
+    );
+    const watching = runFeed([start, ...events], clock);
+    await clock.run(20 * STORE_REWRITE_GRACE_MS);
+    feed.close();
+
+    const latest = new Map(history.map((change) => [keyOf(change), change]));
+    const items = [...latest.values()].filter(({ kind }) => kind !== "removed");
+    const listing = runFeed([ok({ changes: items, position })], clock);
+    await clock.run(20 * STORE_REWRITE_GRACE_MS);
+    feed.close();
+    expect(known(watching.instances)).toEqual(known(listing.instances));
+  }));
+});
+
+test("an entry that stays unreadable is removed however often it is written", async () => {
+  const clock = createVirtualClock();
+  const unreadable = (revision: number) =>
+    ok({
+      position: { era: 1, revision },
+      changes: [{
+        kind: "foreign" as const,
+        key: "i-1",
+        reason: "state is not readable",
+        instance: { id: "i-1", revision },
+      }],
+    });
+  const script: (Answer | undefined)[] = [ok({
+    position: { era: 1, revision: 1 },
+    changes: [entry("i-1", 1)],
+  })];
+  for (let revision = 2; revision < 100; revision++) {
+    script.push(unreadable(revision));
+  }
+  const { instances } = runFeed(script, clock);
+  await clock.run(STORE_REWRITE_GRACE_MS / 2);
+  expect(instances.get("i-1")?.state).toBe("live");
+  await clock.run(STORE_REWRITE_GRACE_MS);
+  expect(instances.get("i-1")?.state).toBe("gone");
+});
--- a/packages/node/src/agent/key_feed.ts
+++ b/packages/node/src/agent/key_feed.ts
@@ -32,7 +32,13 @@
   | { readonly kind: "instance"; readonly instance: PlatformInstance }
   | { readonly kind: "removed"; readonly id: string; readonly revision: number }
   /** A value that cannot be decoded or that another application wrote. */
-  | { readonly kind: "foreign"; readonly key: string; readonly reason: string };
+  | {
+    readonly kind: "foreign";
+    readonly key: string;
+    readonly reason: string;
+    /** The instance whose key this is; the value no longer lists it. */
+    readonly instance?: { readonly id: string; readonly revision: number };
+  };
 
 /** Changes of keys, and the position of the store that includes them. */
 export interface StoreChanges {
@@ -105,10 +111,17 @@
   return Math.round(STORE_WATCH_WAIT_MS * (0.5 + Math.random() / 2));
 }
 
+/** The removal of an instance that is due after the grace period. */
+interface PendingRemoval {
+  readonly timer: Timer;
+  /** Position at which the instance was found to be missing. */
+  position: Position;
+}
+
 /** Creates a feed that has not started. */
 export function createKeyValueFeed(config: KeyValueFeedConfig): Feed {
   const { clock, reader } = config;
-  const pendingRemovals = new Map<string, Timer>();
+  const pendingRemovals = new Map<string, PendingRemoval>();
   const closing = new AbortController();
   let abort: AbortController | undefined;
   let isListing = false;
@@ -149,7 +162,7 @@
   }
 
   function cancelRemoval(id: string): void {
-    pendingRemovals.get(id)?.close();
+    pendingRemovals.get(id)?.timer.close();
     pendingRemovals.delete(id);
   }
 
@@ -172,14 +185,35 @@
           cancelRemoval(change.id);
           remove(change.id, { era, revision: change.revision });
           break;
-        case "foreign":
+        case "foreign": {
           config.onForeignEntry(change.key, change.reason);
+          const { instance } = change;
+          if (instance === undefined) break;
+          const { id, revision } = instance;
+          scheduleRemoval(id, { era, revision });
+        }
       }
     }
     if (instances.length > 0) config.onInstances(instances);
     if (values.length > 0) config.onValues(values);
   }
 
+  /** Removes an instance, unless its entry is written again within the grace. */
+  function scheduleRemoval(id: string, position: Position): void {
+    const pending = pendingRemovals.get(id);
+    if (pending !== undefined) {
+      // A writer that goes on writing such values does not put it off.
+      pending.position = position;
+      return;
+    }
+    const timer = clock.after(STORE_REWRITE_GRACE_MS, () => {
+      pendingRemovals.delete(id);
+      remove(id, removal.position);
+    });
+    const removal: PendingRemoval = { timer, position };
+    pendingRemovals.set(id, removal);
+  }
+
   /**
    * Removes the known instances that a list lacks, after a grace period: leases
    * that expired during an outage of the store are written again soon after it.
@@ -192,11 +226,7 @@
     for (const { id, revision: knownRevision } of config.knownInstances()) {
       if (listed.has(id) || pendingRemovals.has(id)) continue;
       if (knownRevision >= orderOf(position)) continue;
-      const timer = clock.after(STORE_REWRITE_GRACE_MS, () => {
-        pendingRemovals.delete(id);
-        remove(id, position);
-      });
-      pendingRemovals.set(id, timer);
+      scheduleRemoval(id, position);
     }
   }
 
@@ -402,7 +432,7 @@
       abort?.abort();
       closing.abort();
       guard.end();
-      for (const timer of pendingRemovals.values()) timer.close();
+      for (const { timer } of pendingRemovals.values()) timer.close();
     },
   };
 }
