test(playground): the soak lists entries of other writers, beside restarts

Change: a plan also lists another application, an earlier id, a server of another service at a backend server's address, or an unreadable value under its own id, with keys before or after it; the node there starts again beside it, or all nodes are killed at once.

--- a/playground/src/platform_fleet.ts
+++ b/playground/src/platform_fleet.ts
@@ -69,7 +69,9 @@
 export interface PlatformMember {
   readonly id: string;
   readonly service: string;
+  readonly zone: string;
   readonly backend: MeshBackend;
+  readonly backendAddress: { readonly ip: string; readonly port: number };
   /** Where this node reaches the store. */
   readonly storeEndpoint: KeyValueStoreEndpoint;
   /** Where the node takes plain HTTP requests of callers. */
@@ -250,7 +252,9 @@
   return {
     id,
     service,
+    zone,
     backend,
+    backendAddress: { ip, port: ports.application },
     storeEndpoint,
     callers: { host: ip, port: ports.outbound },
     child: () => child,
--- a/playground/src/soak/plan.ts
+++ b/playground/src/soak/plan.ts
@@ -5,6 +5,17 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { SilentConnections } from "../platform_fleet.ts";
 
+/** What another writer lists on the machine of a backend server. */
+export type ForeignEntry =
+  /** A process at another port, of a service that is in no configuration. */
+  | "application"
+  /** The backend server itself, leaving, under an earlier id. */
+  | "earlier"
+  /** A backend server of another service at the same address. */
+  | "successor"
+  /** A value that cannot be read, under the backend server's own id. */
+  | "unreadable";
+
 /** What happens to the fleet; `member` is the index of a machine. */
 export type SoakAction =
   /** The node gets a signal and is started again after it has ended. */
@@ -33,6 +44,17 @@
   }
   /** Open connections of all nodes go silent; new ones work. */
   | { readonly kind: "silence"; readonly connections: SilentConnections }
+  /** Another writer lists something on a machine for a while. */
+  | {
+    readonly kind: "entry";
+    readonly member: number;
+    readonly what: ForeignEntry;
+    /** Whether its key comes before or after that of the backend server. */
+    readonly order: "before" | "after";
+    readonly ms: number;
+  }
+  /** All nodes are killed at once. */
+  | { readonly kind: "power_loss"; readonly downMs: number }
   | { readonly kind: "publish" }
   /** The backend server names a rate that it accepts. */
   | {
@@ -129,6 +151,16 @@
         kind,
         connections: oneOf(["store", "store", "nodes", "backend", "all"]),
       };
+    case "entry":
+      return {
+        kind,
+        member: member(),
+        what: oneOf(["application", "earlier", "successor", "unreadable"]),
+        order: oneOf(["before", "after"]),
+        ms: between(3_000, 8_000),
+      };
+    case "power_loss":
+      return { kind, downMs: between(0, 1_500) };
     case "publish":
       return { kind };
     case "cap":
@@ -215,6 +247,44 @@
   }
 }
 
+/** Time between two entries, as a multiple of that between other events. */
+const ENTRY_GAP_FACTOR = 5;
+/** Time after an entry at which nodes start again beside it. */
+const ENTRY_RESTART_MS = 1_000;
+
+/**
+ * Draws entries of other writers, beside some of which the node there starts
+ * again, or all of them do. They have a generator of their own, as silences do.
+ */
+function drawEntries(
+  seed: number,
+  { members, lengthMs, gapMs }: SoakScale,
+): readonly SoakEvent[] {
+  const uniform = createUniform(`entries ${seed}`);
+  const picker = createPicker(uniform, members);
+  const events: SoakEvent[] = [];
+  let atMs = 1_000;
+  for (;;) {
+    atMs += -ENTRY_GAP_FACTOR * gapMs * Math.log(1 - uniform());
+    if (atMs >= lengthMs) return events;
+    const action = drawAction("entry", picker);
+    events.push({ atMs, action });
+    const kind = picker.oneOf<"restart" | "power_loss" | undefined>([
+      "restart",
+      "power_loss",
+      undefined,
+    ]);
+    if (kind === undefined) continue;
+    const restart = drawAction(kind, picker);
+    events.push({
+      atMs: atMs + ENTRY_RESTART_MS,
+      action: restart.kind === "restart" && action.kind === "entry"
+        ? { ...restart, member: action.member }
+        : restart,
+    });
+  }
+}
+
 /** Draws a plan; the same seed and scale give the same one. */
 export function createSoakPlan(
   seed: number,
@@ -233,6 +303,10 @@
     }
     atMs += -gapMs * Math.log(1 - uniform());
   }
-  return [...events, ...drawSilences(seed, { members, lengthMs, gapMs })]
-    .sort((a, b) => a.atMs - b.atMs);
+  const scale = { members, lengthMs, gapMs };
+  return [
+    ...events,
+    ...drawSilences(seed, scale),
+    ...drawEntries(seed, scale),
+  ].sort((a, b) => a.atMs - b.atMs);
 }
--- a/playground/src/soak/run_soak.ts
+++ b/playground/src/soak/run_soak.ts
@@ -5,7 +5,10 @@
  */
 
 import { once } from "node:events";
-import type { KeyValueBackup } from "@coltsfootdeal/standin";
+import {
+  formatMeshInstanceEntry,
+  type KeyValueBackup,
+} from "@coltsfootdeal/standin";
 import {
   DEMO_ROUTES,
   type DemoRoute,
@@ -43,6 +46,8 @@
 const BACKUP_INTERVAL_MS = 500;
 /** Time after the last event in which nothing is disturbed. */
 const CALM_MS = 9_000;
+/** Interval in which a backend server writes its entry, in ms. */
+const HEARTBEAT_MS = 1_500;
 /** Grace period of a stop, after which a node has to be gone. */
 const GRACE_MS = 3_000;
 
@@ -264,6 +269,41 @@
     silences.push({ from, to: performance.now() });
   }
 
+  /** Lists something on a machine that is not its backend server. */
+  async function listBeside(
+    machine: Machine,
+    { what, order, ms }: Extract<SoakAction, { readonly kind: "entry" }>,
+  ): Promise<void> {
+    const { member, backendId, born } = machine;
+    if (what === "unreadable") {
+      if (machine.state !== "ready") return;
+      store.put(`servers/${backendId}`, JSON.stringify({ status: what }));
+      // As a backend server does that still writes its entry.
+      await sleep(Math.min(ms, HEARTBEAT_MS));
+      return register(machine);
+    }
+    const id = `${order === "before" ? "a" : "z"}-${what}-${backendId}`;
+    const { ip, port } = member.backendAddress;
+    const other = DEMO_ROUTES.find(({ service }) => service !== member.service);
+    store.put(
+      `servers/${id}`,
+      formatMeshInstanceEntry({
+        address: `${ip}:${what === "application" ? port + 1 : port}`,
+        service: {
+          application: "node-metrics",
+          earlier: member.service,
+          successor: other?.service ?? member.service,
+        }[what],
+        zone: member.zone,
+        slots: 1,
+        state: what === "earlier" ? "draining" : "ready",
+        born: what === "earlier" ? born - 1 : Date.now(),
+      }),
+    );
+    await sleep(ms);
+    store.remove(`servers/${id}`);
+  }
+
   async function restore(
     { ageMs, ms, rewriteMs }: Extract<SoakAction, { readonly kind: "restore" }>,
   ): Promise<void> {
@@ -281,19 +321,52 @@
     for (const machine of machines) register(machine);
   }
 
+  async function restartUnlessBusy(
+    machine: Machine,
+    action: Extract<SoakAction, { readonly kind: "restart" }>,
+  ): Promise<void> {
+    if (machine.isNodeBusy) return;
+    machine.isNodeBusy = true;
+    await restart(machine, action);
+    machine.isNodeBusy = false;
+  }
+
   /** Begins an action, unless one that excludes it has not ended. */
   async function perform(action: SoakAction): Promise<void> {
     switch (action.kind) {
-      case "restart":
+      case "restart": {
+        const machine = machines[action.member];
+        if (machine !== undefined) await restartUnlessBusy(machine, action);
+        return;
+      }
+      case "power_loss": {
+        const { downMs } = action;
+        await Promise.all(machines.map((machine) =>
+          restartUnlessBusy(machine, {
+            kind: "restart",
+            member: machine.index,
+            signal: "SIGKILL",
+            downMs,
+          })
+        ));
+        return;
+      }
       case "pause": {
         const machine = machines[action.member];
         if (machine === undefined || machine.isNodeBusy) return;
         machine.isNodeBusy = true;
-        if (action.kind === "restart") await restart(machine, action);
-        else await pause(machine, action.ms);
+        await pause(machine, action.ms);
         machine.isNodeBusy = false;
         return;
       }
+      case "entry": {
+        const machine = machines[action.member];
+        if (machine === undefined || machine.isBackendBusy) return;
+        machine.isBackendBusy = true;
+        await listBeside(machine, action);
+        machine.isBackendBusy = false;
+        return;
+      }
       case "cap":
       case "leave": {
         const machine = machines[action.member];
