refactor(gate): the agent decides which backend server is gone

The gate ignored the removal of an earlier backend server at its address. The agent reports a removal only when no entry is left, so the case does not arise any more.

--- a/packages/node/src/gate/gate.ts
+++ b/packages/node/src/gate/gate.ts
@@ -130,7 +130,10 @@
   readonly submit: (call: GateCall, signal: AbortSignal) => Promise<GateReply>;
   /** Applies the slots and floors of the bundle in force. */
   readonly configure: (catalog: Catalog) => void;
-  /** Applies the backend server's state in the instance list. */
+  /**
+   * Applies the backend server's state in the instance list; `gone` once none
+   * is listed beside this node.
+   */
   readonly setBackendState: (backend: BackendState) => void;
   readonly load: () => GateLoad;
   /** Applies what another node remembers of the backend server. */
@@ -288,8 +291,6 @@
   }
 
   function applyBackendState(next: BackendState): void {
-    // Ignores the removal of an earlier backend server at the same address.
-    if (next.state === "gone" && backend?.id !== next.id) return;
     const replaced = backend !== undefined && !isSameIncarnation(backend, next);
     backend = next;
     if (catalog !== undefined) configure(catalog);
