test(review): a charge that has run is answered 408 after its node stood still

Seen: a node stands still for 4 s (node_freeze) while non-idempotent requests are at work and their clients send the header of the next request. When it goes on, Node.js's HTTP server writes 408 for that header, as the first answer on the connection: clients take it for the charge, which has run. Code: listener.ts sets headersTimeout and does not handle clientError.

--- a/review/lib_3/client.ts
+++ b/review/lib_3/client.ts
@@ -23,6 +23,8 @@
   readonly method?: "GET" | "POST";
   readonly deadlineMs: number;
   readonly body?: Buffer;
+  /** Time that the client takes to send the header; 0 by default. */
+  readonly headerMs?: number;
 }
 
 /** A client's connection. */
@@ -35,6 +37,9 @@
   readonly isClosed: () => boolean;
 }
 
+/** Bytes of a request that a client sends at once if it is slow. */
+const HEADER_PART_BYTES = 30;
+
 interface Pending {
   readonly requestId: string;
   readonly resolve: (answer: ReceivedAnswer) => void;
@@ -123,7 +128,12 @@
       new Promise((resolve) => {
         pending.push({ requestId: request.requestId, resolve });
         if (isClosed) return settle(Buffer.alloc(0), false);
-        socket.write(format(request));
+        const bytes = format(request);
+        const { headerMs = 0 } = request;
+        const firstBytes = headerMs > 0 ? HEADER_PART_BYTES : bytes.length;
+        socket.write(bytes.subarray(0, firstBytes));
+        if (headerMs === 0) return;
+        setTimeout(() => socket.write(bytes.subarray(firstBytes)), headerMs);
       }),
     readSlowly: (bytesPerS) => {
       rate = bytesPerS;
