--- a/review/13/case.ts
+++ b/review/13/case.ts
@@ -3,9 +3,12 @@
  * request that crashes each backend server that begins to run it.
  */
 
+import process from "node:process";
 import { openConnection } from "../lib_3/client.ts";
 import { type Machine, runCase, sleep, terminate } from "../lib_3/fleet.ts";
 
+/** Whether the disruption takes place; `TROUBLE=0` leaves it out. */
+const isTroubled = process.env.TROUBLE !== "0";
 /** Pause between two sends of the request at a machine. */
 const SEND_PERIOD_MS = 2_000;
 /** Pause between two other requests at a machine. */
@@ -42,7 +45,8 @@
       max_attempts: 2,
     },
   },
-}, async ({ record, machines, ports, isTroubled }) => {
+}, async ({ record, machines, ports }) => {
+  record(`trouble: ${isTroubled}`);
   /** Machines that are in touch. */
   const inTouch = new Set(machines);
   let sent = 0;
--- a/review/lib_3/fleet.ts
+++ b/review/lib_3/fleet.ts
@@ -45,7 +45,6 @@
   readonly store: Store;
   readonly ports: Ports;
   readonly machines: readonly Machine[];
-  readonly isTroubled: boolean;
 }
 
 /** A route of the operator's configuration. */
@@ -264,7 +263,6 @@
   const folder = process.argv[2] ?? ".";
   const directory = mkdtempSync(join(tmpdir(), "review-"));
   const { add: record, write } = createRecord();
-  const isTroubled = process.env.TROUBLE !== "0";
   const machines: Machine[] = [];
   let store: Store | undefined;
   let status = EXIT_NOT_RUN;
@@ -364,8 +362,8 @@
     }
     for (const machine of machines) await waitUntilReady(machine, ports);
     await sleep(2_000);
-    record(`all nodes are ready; trouble: ${isTroubled}`);
-    const fleet = { record, store, ports, machines, isTroubled };
+    record("all nodes are ready");
+    const fleet = { record, store, ports, machines };
     const fault = await play(fleet);
     record(fault === undefined ? "held" : `broken: ${fault}`);
     status = fault === undefined ? 0 : 1;
